Send callers to strong VMs

Cause: callers choose among the VMs that the directory names at random. On the grown sites each zone has two VMs of 0.8 cores and named a third one of 0.192, so that a third of the fan-outs ran at a quarter of the speed: 36 sub-requests take about 10 ms of a core, 50 ms at such a VM, with an objective of 60 to 100 ms. Change: a VM with less than half of the power of its zone's strongest gets callers only where fewer than two others serve in the zone. Ruled out: sending callers of a zone to VMs beside the targets (trial): the shards are spread over all zones alike, and the bytes between zones stay.

--- a/core/mesh/directory.go
+++ b/core/mesh/directory.go
@@ -10,6 +10,16 @@
 // are so many: the loss of one is the loss of a small part.
 const leastActive = 8
 
+const (
+	// weakPart is the part of the power of its zone's strongest VM below which a
+	// VM gets no callers: they choose among VMs at random, so that a weak one gets
+	// as many as a strong one and takes several times as long.
+	weakPart = 0.5
+	// leastPerZone is the number of VMs of a zone that get callers, weak ones
+	// included: one may fail.
+	leastPerZone = 2
+)
+
 // ServeWithFor returns how many VMs can share the connections that a target
 // accepts, so that each has enough to serve alone what its callers send.
 func ServeWithFor(maxConnections int) int {
@@ -20,8 +30,9 @@
 	return max(maxConnections/connsPerVM, leastActive)
 }
 
-// active returns the VMs that callers are sent to: of each zone as many, the
-// strongest first. All VMs choose alike. There are none until it is known how
+// active returns the VMs that callers are sent to: of each zone as many at most,
+// the strongest first, and weak ones only for want of others. All VMs choose
+// alike. There are none until it is known how
 // many can share the targets.
 func active(nodes []Node, most int) []Node {
 	byZone := make(map[string][]Node)
@@ -41,7 +52,11 @@
 	for _, zone := range zones {
 		all := byZone[zone]
 		slices.SortFunc(all, func(a, b Node) int { return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(a.ID, b.ID)) })
-		chosen = append(chosen, all[:min(len(all), perZone)]...)
+		for i, n := range all[:min(len(all), perZone)] {
+			if i < leastPerZone || n.Power >= weakPart*all[0].Power {
+				chosen = append(chosen, n)
+			}
+		}
 	}
 	return chosen
 }
