--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -157,6 +157,11 @@
 // requestSent reports whether the request was sent whole. A target may answer
 // before it has read a long body, and would take another request for its rest.
 func (t *connTask) requestSent() bool {
+	select {
+	case <-t.sent: // as a rule
+		return true
+	default:
+	}
 	select {
 	case <-t.sent:
 		return true
