Relay the shards of other zones in one call

Change: three shards or more without a target in the VM's zone go in one call to a VM beside their targets (core/serve/relay.go, relayed.go; gateway/relay.go carries the calls). That VM makes one attempt for each shard and returns the greatest records with all seals; hedges, retries, rates, keys and the answer stay with the VM that asks, and the attempts of the route hold whatever becomes of the call.

The tests of core/serve/relay_test.go replay a VM that refuses, loses, or says nothing to the call, and shards hedged meanwhile.

--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -41,9 +41,10 @@
 	e.querySeq++
 	q.seq = e.querySeq
 	e.queries[r.ID] = q
+	e.relayParts(now, q)
 	for _, p := range q.parts {
 		p.service.budget.Earn()
-		if !p.done { // a start may have ended the query
+		if !p.done && !p.relayed { // a start may have ended the query
 			e.startOrQueue(now, p)
 		}
 	}
@@ -97,6 +98,7 @@
 	if q.workspace == nil {
 		return e.unknown(q, outcome.CodeUnauthorized, "no workspace holds the key")
 	}
+	q.runsFor = q.workspace.Name
 	if q.workspace.HasPriority {
 		q.priority = q.workspace.Priority
 	}
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -68,17 +68,19 @@
 		q.crossed++
 	}
 	if !hedge && q.route.Idempotent {
-		p.hedgeAt = now.Add(max(a.route.latency.P90, minHedgeWait, q.objective.Sub(now)*hedgeAfter/100))
-	}
-	workspace := ""
-	if q.workspace != nil {
-		workspace = q.workspace.Name
+		p.hedgeAt = now.Add(e.hedgeWait(now, q))
 	}
 	left := max(q.deadline.Sub(now), time.Millisecond)
-	e.emit(StartAttempt{Attempt: a.id, Conn: a.conn.id, Request: q.request, Target: t.reg.ID, Verified: a.conn.used, Workspace: workspace, TimeLeft: left})
+	e.emit(StartAttempt{Attempt: a.id, Conn: a.conn.id, Request: q.request, Target: t.reg.ID, Verified: a.conn.used, Workspace: q.runsFor, TimeLeft: left})
 	e.keepConns(now, t)
 }
 
+// hedgeWait is how long the first attempt of a part may take before a second one
+// is due.
+func (e *Engine) hedgeWait(now time.Time, q *query) time.Duration {
+	return max(e.route(q.route.Name).latency.P90, minHedgeWait, q.objective.Sub(now)*hedgeAfter/100)
+}
+
 // withdrawn refuses a query whose key was withdrawn, or may have been, while it
 // waited; it returns nil while the key is good.
 func (e *Engine) withdrawn(now time.Time, q *query) *Answer {
@@ -206,17 +208,23 @@
 			return
 		}
 	}
-	if len(p.running) > 0 {
-		return // another attempt may still answer
+	e.repeat(now, p, ev.Kind, failureCause(ev))
+}
+
+// repeat goes on with a part after a failure, unless another attempt may still
+// answer.
+func (e *Engine) repeat(now time.Time, p *part, kind ResultKind, failure string) {
+	if p.pending() > 0 {
+		return
 	}
-	cause := e.retryBar(now, p, ev.Kind)
+	cause := e.retryBar(now, p, kind)
 	if cause != "" {
 		e.emit(Noted{Event: NotedNoRetry, Request: p.query.request, Service: p.service.name, Cause: cause, Count: p.arrivals})
 		e.failPart(now, p)
 		return
 	}
 	p.query.retries++
-	e.emit(Noted{Event: NotedRetry, Request: p.query.request, Service: p.service.name, Cause: failureCause(ev), Count: p.arrivals})
+	e.emit(Noted{Event: NotedRetry, Request: p.query.request, Service: p.service.name, Cause: failure, Count: p.arrivals})
 	e.startOrQueue(now, p)
 }
 
@@ -267,7 +275,7 @@
 			continue
 		}
 		p.hedgeAt = time.Time{}
-		if len(p.running) != 1 || p.hedged || p.ran+len(p.running) >= q.route.MaxAttempts {
+		if p.pending() != 1 || p.hedged || p.ran+p.pending() >= q.route.MaxAttempts {
 			continue
 		}
 		t := e.pick(now, p, true)
@@ -275,14 +283,22 @@
 			p.hedgeAt = now.Add(max(e.route(q.route.Name).latency.P50/hedgeRecheck, minHedgeWait))
 			continue
 		}
-		first := p.running[0]
 		p.hedged = true
 		q.hedges++
-		e.emit(Noted{Event: NotedHedge, Request: q.request, Service: p.service.name, Target: t.reg.ID, Cause: first.target.reg.ID, Took: now.Sub(first.started)})
+		first, since := q.firstAttempt(p)
+		e.emit(Noted{Event: NotedHedge, Request: q.request, Service: p.service.name, Target: t.reg.ID, Cause: first, Took: now.Sub(since)})
 		e.start(now, p, t, true)
 	}
 }
 
+// firstAttempt tells where the only attempt of a part runs, and since when.
+func (q *query) firstAttempt(p *part) (where string, since time.Time) {
+	if p.relayed {
+		return string(q.relay.vm), q.relay.started
+	}
+	return p.running[0].target.reg.ID, p.running[0].started
+}
+
 // detach separates an attempt from its query. It may go on for a while.
 func (e *Engine) detach(now time.Time, a *attempt, linger time.Duration) {
 	if linger <= 0 {
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/anvilfork/anvilfork/core/catalog"
+	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/latency"
 	"github.com/anvilfork/anvilfork/core/mesh"
 	"github.com/anvilfork/anvilfork/core/quota"
@@ -41,9 +42,12 @@
 	routes   map[string]*routeState // by name
 	tenants  map[string]*tenant     // by name
 	crashes  crashes
+	relays   map[RelayID]*relay
+	silent   map[fleet.VMID]time.Time // VMs that nothing is relayed to before a time
 
 	attemptSeq AttemptID
 	connSeq    ConnID
+	relaySeq   RelayID
 	querySeq   uint64
 	reportAt   time.Time
 	returnedAt time.Time // when the copy of the store was confirmed again after a gap
@@ -72,6 +76,7 @@
 		queries: make(map[RequestID]*query), attempts: make(map[AttemptID]*attempt),
 		conns: make(map[ConnID]*conn), routes: make(map[string]*routeState),
 		tenants: make(map[string]*tenant), crashes: newCrashes(),
+		relays: make(map[RelayID]*relay), silent: make(map[fleet.VMID]time.Time),
 	}
 }
 
@@ -89,6 +94,14 @@
 		e.connOpened(now, ev)
 	case ConnClosed:
 		e.connClosed(now, ev)
+	case RelayReplied:
+		e.relayReplied(now, ev)
+	case RelayFailed:
+		e.relayFailed(now, ev)
+	case RelayRequested:
+		e.relayRequested(now, ev.Work)
+	case RelayDropped:
+		e.relayDropped(now, ev.ID)
 	case Published:
 		e.published(now, ev)
 	case FleetChanged:
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/anvilfork/anvilfork/core/catalog"
+	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mesh"
 	"github.com/anvilfork/anvilfork/core/outcome"
 )
@@ -20,6 +21,9 @@
 // ConnID identifies one connection of this VM to a target.
 type ConnID uint64
 
+// RelayID identifies the part of a query that this VM had another one run.
+type RelayID uint64
+
 // Request is a request of a caller.
 type Request struct {
 	ID          RequestID
@@ -69,6 +73,8 @@
 	Retries       int
 	CrossZone     int // attempts at targets of other zones
 	Shards        int
+	Relayed       int        // shards that another VM was asked to run
+	RelayedTo     fleet.VMID // that VM
 	MissingShards []string
 	Cut           bool // answered before all shards had, because the objective was near
 }
@@ -99,6 +105,43 @@
 	Running, Waiting, Slots int
 }
 
+// RelayedWork is the part of a fan-out that a VM runs for another one, which has
+// no targets of these shards in its zone. Each shard gets a single attempt: the
+// VM that asks makes the second one itself.
+type RelayedWork struct {
+	Route     string
+	Shards    []string
+	TopK      int
+	Request   *Request // only CallerRef, Fingerprint and Payload cross VMs
+	Workspace string   // empty on public routes
+	Priority  int
+	TimeLeft  time.Duration // until the deadline
+	ReplyIn   time.Duration // until a reply is due with the shards that have ended
+}
+
+// RelayReply tells which shards of a RelayedWork have ended since the reply
+// before.
+type RelayReply struct {
+	Parts  []RelayedPart
+	Body   []byte // greatest records of Parts
+	Failed []RelayedFailure
+	Rest   bool // other shards have not ended
+}
+
+// RelayedPart is the answer of a shard.
+type RelayedPart struct {
+	Shard    int // index in RelayedWork.Shards
+	Seal     string
+	Attempts int // that reached targets
+}
+
+// RelayedFailure is a shard without an answer.
+type RelayedFailure struct {
+	Shard    int
+	Attempts int // that reached targets
+	Ran      int // attempts that may have run
+}
+
 // Event is an input of an Engine.
 type Event interface{ event() }
 
@@ -131,6 +174,27 @@
 	Cause   string
 }
 
+// RelayReplied hands over a reply of the VM that runs a part of a query.
+type RelayReplied struct {
+	Relay RelayID
+	Reply *RelayReply
+}
+
+// RelayFailed reports that the VM that was to run a part of a query, or the
+// rest of it, gives no reply.
+type RelayFailed struct {
+	Relay  RelayID
+	NotRun bool // it did not take the work
+	Cause  string
+}
+
+// RelayRequested hands in work of another VM. The id of its request is unique
+// among all requests of this VM.
+type RelayRequested struct{ Work *RelayedWork }
+
+// RelayDropped reports that the other VM does not need the work any more.
+type RelayDropped struct{ ID RequestID }
+
 // Published hands over what the platform publishes.
 type Published struct {
 	Config   *catalog.Config
@@ -144,14 +208,18 @@
 // Tick reports that the time given by Next has come.
 type Tick struct{}
 
-func (Submit) event()       {}
-func (Cancel) event()       {}
-func (AttemptDone) event()  {}
-func (ConnOpened) event()   {}
-func (ConnClosed) event()   {}
-func (Published) event()    {}
-func (FleetChanged) event() {}
-func (Tick) event()         {}
+func (RelayReplied) event()   {}
+func (RelayFailed) event()    {}
+func (RelayRequested) event() {}
+func (RelayDropped) event()   {}
+func (Submit) event()         {}
+func (Cancel) event()         {}
+func (AttemptDone) event()    {}
+func (ConnOpened) event()     {}
+func (ConnClosed) event()     {}
+func (Published) event()      {}
+func (FleetChanged) event()   {}
+func (Tick) event()           {}
 
 // Action is an output of an Engine.
 type Action interface{ action() }
@@ -176,6 +244,23 @@
 	TimeLeft  time.Duration
 }
 
+// StartRelay has another VM run a part of a query. Its replies come back as
+// RelayReplied, the last one with Rest unset, or as RelayFailed.
+type StartRelay struct {
+	Relay RelayID
+	Peer  string // address of the VM
+	Work  *RelayedWork
+}
+
+// DropRelay ends a relay whose replies aren't needed any more.
+type DropRelay struct{ Relay RelayID }
+
+// ReplyRelayed sends a reply for work of another VM.
+type ReplyRelayed struct {
+	ID    RequestID // of the work's request
+	Reply *RelayReply
+}
+
 // Respond answers a request.
 type Respond struct {
 	ID     RequestID
@@ -211,6 +296,8 @@
 	NotedNoRetry        NotedEvent = "attempt_not_repeated"
 	NotedHedge          NotedEvent = "attempt_hedged"
 	NotedCallerLeft     NotedEvent = "caller_left"
+	NotedRelayFailed    NotedEvent = "relay_failed"
+	NotedRelayedRun     NotedEvent = "relayed_run"
 	NotedTargetEjected  NotedEvent = "target_ejected"
 	NotedTargetRestored NotedEvent = "target_restored"
 	NotedTargetAdded    NotedEvent = "target_added"
@@ -224,6 +311,9 @@
 func (OpenConn) action()     {}
 func (CloseConn) action()    {}
 func (StartAttempt) action() {}
+func (StartRelay) action()   {}
+func (DropRelay) action()    {}
+func (ReplyRelayed) action() {}
 func (Respond) action()      {}
 func (Report) action()       {}
 func (Noted) action()        {}
--- a/core/serve/pick.go
+++ b/core/serve/pick.go
@@ -28,7 +28,7 @@
 	if t := e.best(now, p, false); t != nil {
 		return t
 	}
-	if hedge || len(p.running) > 0 {
+	if hedge || p.pending() > 0 {
 		return nil
 	}
 	return e.best(now, p, true)
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/anvilfork/anvilfork/core/catalog"
+	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/outcome"
 	"github.com/anvilfork/anvilfork/core/timer"
 )
@@ -17,7 +18,8 @@
 	seq       uint64
 	config    *catalog.Config
 	route     *catalog.Route
-	workspace *catalog.Workspace // nil on public routes
+	workspace *catalog.Workspace // nil on public routes, and on work of other VMs
+	runsFor   string             // name of the workspace; empty on public routes
 	charged   *tenant            // whose quota it was taken from
 	priority  int
 	parts     []*part
@@ -35,6 +37,11 @@
 	hedges   int
 	retries  int
 	crossed  int // attempts at targets of other zones
+
+	relay     *relay       // to the VM that runs a part of the query
+	relayed   int          // parts that were relayed
+	relayedTo fleet.VMID   // the VM that they were relayed to
+	forVM     *relayedWork // set on work of another VM
 }
 
 // part is what one service has to do for a query.
@@ -50,6 +57,16 @@
 	queued   bool
 	done     bool
 	response *Response // the last answer, a failure too
+	relayed  bool      // another VM runs an attempt
+	merged   *bundle   // holds the records instead of the response
+}
+
+// pending is the number of attempts that may still answer.
+func (p *part) pending() int {
+	if p.relayed {
+		return len(p.running) + 1
+	}
+	return len(p.running)
 }
 
 func (q *query) addPart(s *service) {
@@ -60,7 +77,7 @@
 
 // ran reports whether any target may have run a part of the query.
 func (q *query) ran() bool {
-	return slices.ContainsFunc(q.parts, func(p *part) bool { return p.ran > 0 || len(p.running) > 0 })
+	return slices.ContainsFunc(q.parts, func(p *part) bool { return p.ran > 0 || p.pending() > 0 })
 }
 
 // advance ends a query that has its answer or can't get one, and otherwise
@@ -69,6 +86,10 @@
 	if _, live := e.queries[q.request.ID]; !live {
 		return
 	}
+	if q.forVM != nil {
+		e.advanceRelayed(now, q)
+		return
+	}
 	switch {
 	case q.open() == 0 && q.answered >= q.least, q.answered >= q.least && !now.Before(q.objective):
 		e.finish(now, q, q.answer())
@@ -77,6 +98,7 @@
 	case !now.Before(q.deadline):
 		e.finish(now, q, q.expired())
 	default:
+		e.noteSilence(now, q)
 		e.hedgeDue(now, q)
 		e.arm(now, q)
 	}
@@ -113,18 +135,34 @@
 		return &Answer{Response: q.parts[0].response}
 	}
 	m := &Merged{}
-	var bodies [][]byte
 	for _, p := range q.parts {
 		if p.succeeded() {
-			bodies = append(bodies, p.response.Body)
 			m.Seals = append(m.Seals, p.response.Seal)
 		}
 	}
-	m.Missing = len(q.parts) - len(bodies)
-	m.Body = merge(q.route.FanOut.TopK, bodies)
+	m.Missing = len(q.parts) - len(m.Seals)
+	m.Body = merge(q.route.FanOut.TopK, bodies(q.parts))
 	return &Answer{Merged: m}
 }
 
+// bodies returns the records of the parts that are in. Parts that another VM has
+// merged share one body.
+func bodies(parts []*part) [][]byte {
+	var all [][]byte
+	taken := make(map[*bundle]bool)
+	for _, p := range parts {
+		switch {
+		case !p.succeeded() || p.merged != nil && taken[p.merged]:
+		case p.merged != nil:
+			taken[p.merged] = true
+			all = append(all, p.merged.body)
+		default:
+			all = append(all, p.response.Body)
+		}
+	}
+	return all
+}
+
 func (p *part) succeeded() bool { return p.done && p.response != nil && p.response.Success }
 
 // failure is the answer of a query too many of whose parts have failed.
@@ -166,6 +204,7 @@
 func (e *Engine) forget(now time.Time, q *query, linger time.Duration) {
 	delete(e.queries, q.request.ID)
 	e.timers.Remove(&q.timer)
+	e.dropRelay(q)
 	for _, p := range q.parts {
 		p.done = true
 		p.service.unqueue(p)
@@ -205,6 +244,7 @@
 	}
 	t.CopyAge, t.Priority, t.Took = q.age, q.priority, now.Sub(q.arrived)
 	t.Attempts, t.Hedges, t.Retries, t.CrossZone, t.Shards = q.attempts, q.hedges, q.retries, q.crossed, len(q.parts)
+	t.Relayed, t.RelayedTo = q.relayed, q.relayedTo
 	for _, p := range q.parts {
 		if !p.succeeded() {
 			t.MissingShards = append(t.MissingShards, p.service.name)
--- a/core/serve/rig_test.go
+++ b/core/serve/rig_test.go
@@ -30,6 +30,9 @@
 	answers map[RequestID]*Answer
 	notes   []Noted
 	seq     RequestID
+
+	relayed []StartRelay // work for other VMs that was not dropped
+	replies []*RelayReply
 }
 
 const (
@@ -138,6 +141,12 @@
 		case Respond:
 			assert.Assert(r.t, r.answers[a.ID] == nil, "request %d was answered twice", a.ID)
 			r.answers[a.ID] = a.Answer
+		case StartRelay:
+			r.relayed = append(r.relayed, a)
+		case DropRelay:
+			r.relayed = slices.DeleteFunc(r.relayed, func(s StartRelay) bool { return s.Relay == a.Relay })
+		case ReplyRelayed:
+			r.replies = append(r.replies, a.Reply)
 		case Noted:
 			r.notes = append(r.notes, a)
 		}
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +20,7 @@
 	event     serve.Event
 	submitted *submission
 	left      *serve.Request // whose caller has closed its connection
+	relay     *relayMsg
 }
 
 // submission is a request with the way back to the task that serves its caller.
@@ -38,9 +40,13 @@
 	dumps   chan chan<- serve.Dump
 	control chan<- mesh.Event
 
+	relayClient *relayClient
+
 	conns    map[serve.ConnID]*targetConn
 	callers  map[serve.RequestID]chan<- *serve.Answer
 	requests map[serve.RequestID]*serve.Request
+	relays   map[serve.RelayID]context.CancelFunc // to other VMs
+	runs     map[serve.RequestID]*relayedRun      // for other VMs
 	lines    lineBudget
 	seq      serve.RequestID
 }
@@ -55,6 +61,7 @@
 		dumps: make(chan chan<- serve.Dump),
 		conns: make(map[serve.ConnID]*targetConn), callers: make(map[serve.RequestID]chan<- *serve.Answer),
 		requests: make(map[serve.RequestID]*serve.Request),
+		relays:   make(map[serve.RelayID]context.CancelFunc), runs: make(map[serve.RequestID]*relayedRun),
 	}
 }
 
@@ -89,7 +96,10 @@
 		delete(t.callers, m.left.ID)
 		delete(t.requests, m.left.ID)
 		t.step(serve.Cancel{ID: m.left.ID})
+	case m.relay != nil:
+		t.relayCall(m.relay)
 	default:
+		t.relayEvent(m.event)
 		t.step(m.event)
 	}
 }
@@ -123,6 +133,12 @@
 			c.close()
 			delete(t.conns, a.Conn)
 		}
+	case serve.StartRelay:
+		t.startRelay(a)
+	case serve.DropRelay:
+		t.endRelay(a.Relay)
+	case serve.ReplyRelayed:
+		t.replyRelayed(a)
 	case serve.Respond:
 		t.respond(now, a)
 	case serve.Report:
@@ -184,6 +200,9 @@
 		Str("workspace", tr.Workspace).Uint64("config_version", tr.ConfigVersion).Int64("copy_age_ms", tr.CopyAge.Milliseconds()).
 		Int("priority", tr.Priority).Int64("patience_ms", r.Patience.Milliseconds()).Int64("took_us", tr.Took.Microseconds()).
 		Int("attempts", tr.Attempts).Int("hedges", tr.Hedges).Int("retries", tr.Retries).Int("cross_zone_attempts", tr.CrossZone)
+	if tr.Relayed > 0 {
+		line = line.Int("relayed_shards", tr.Relayed).Str("relayed_to", string(tr.RelayedTo))
+	}
 	switch {
 	case a.Refusal != nil:
 		line = line.Str("outcome", string(a.Refusal.Outcome)).Str("code", string(a.Refusal.Code)).
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,8 +12,8 @@
 
 	"github.com/anvilfork/anvilfork/core/catalog"
 	"github.com/anvilfork/anvilfork/core/mesh"
-	"github.com/anvilfork/anvilfork/core/serve"
 	"github.com/anvilfork/anvilfork/metrics"
+	"github.com/anvilfork/anvilfork/rpc/peer"
 )
 
 const (
@@ -53,6 +53,7 @@
 	inbox := make(chan mesh.Event, controlInbox)
 	engine := newEngineTask(c, &s, p.Targets, log, m)
 	engine.control = inbox
+	engine.relayClient = newRelayClient(p.Callers)
 	g.front = &front{
 		codec: p.Callers, log: log, engine: engine.inbox, listener: listener,
 		limits: make(chan catalog.Limits, 1), stopping: make(chan struct{}), drain: make(chan time.Duration),
@@ -62,7 +63,7 @@
 		inbox: inbox, views: make(chan chan<- *mesh.View), engine: engine.inbox, limits: g.front.limits,
 		peers: newPeerClient(), view: &mesh.View{},
 	}
-	if err := g.startServers(&s, p, engine.dumps, m); err != nil {
+	if err := g.startServers(&s, p, engine, m); err != nil {
 		return nil, err
 	}
 	go engine.run(g.done)
@@ -87,17 +88,19 @@
 }
 
 // startServers opens the interfaces besides the one for callers.
-func (g *Gateway) startServers(s *Settings, p Platform, dumps chan chan<- serve.Dump, m *metrics.Registry) error {
+func (g *Gateway) startServers(s *Settings, p Platform, engine *engineTask, m *metrics.Registry) error {
 	v := viewer{views: g.control.views}
-	peers := &peerServer{control: g.control.inbox}
+	peers := http.NewServeMux()
+	peers.Handle(peer.MeshPathPrefix, peer.NewMeshServer(&peerServer{control: g.control.inbox}))
+	peers.Handle(peer.RelayPathPrefix, peer.NewRelayServer(&relayServer{engine: engine.inbox, codec: p.Callers}))
 	interfaces := []struct {
 		name, address string
 		handler       http.Handler
 	}{
 		{"readiness", s.ReadyAddress, readyHandler(v, p.Readiness)},
 		{"directory", s.DirectoryAddress, directoryHandler(v, p.Directory, s.DirectoryTTL, g.log)},
-		{"peers", s.PeerAddress, peers.handler()},
-		{"metrics", s.MetricsAddress, adminHandler(v, dumps, m, g.log)},
+		{"peers", s.PeerAddress, peers},
+		{"metrics", s.MetricsAddress, adminHandler(v, engine.dumps, m, g.log)},
 	}
 	for _, i := range interfaces {
 		l, err := net.Listen("tcp4", i.address)
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -67,5 +67,3 @@
 
 // heartbeatTicket takes the encoded reply to a heartbeat; it holds one.
 type heartbeatTicket chan *peer.MeshReply
-
-func (s *peerServer) handler() http.Handler { return peer.NewMeshServer(s) }
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -38,6 +38,10 @@
 	// Decode reads a request whole. The refusal says why that is impossible.
 	Decode(r *http.Request, maxBody int64) (*serve.Request, *outcome.Refusal)
 	Encode(w http.ResponseWriter, r *serve.Request, a *serve.Answer)
+	// Pack encodes the payload of a request for another VM.
+	Pack(r *serve.Request) []byte
+	// Unpack decodes what Pack of another VM has encoded.
+	Unpack(packed []byte) (payload any, err error)
 }
 
 // TargetCodec translates between attempts and what targets speak.
--- /dev/null
+++ b/gateway/relaywire.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/anvilfork/anvilfork/core/serve"
+	"github.com/anvilfork/anvilfork/rpc/peer"
+)
+
+func encodeWork(w *serve.RelayedWork, payload []byte) *peer.RelayRequest {
+	return &peer.RelayRequest{
+		Route: w.Route, Shards: w.Shards, TopK: uint32(w.TopK), Request: w.Request.CallerRef, Fingerprint: w.Request.Fingerprint,
+		Payload: payload, Workspace: w.Workspace, Priority: int32(w.Priority),
+		TimeLeftUs: w.TimeLeft.Microseconds(), ReplyInUs: w.ReplyIn.Microseconds(),
+	}
+}
+
+func decodeWork(r *peer.RelayRequest, codec CallerCodec) (*serve.RelayedWork, error) {
+	payload, err := codec.Unpack(r.GetPayload())
+	if err != nil {
+		return nil, err
+	}
+	return &serve.RelayedWork{
+		Route: r.GetRoute(), Shards: r.GetShards(), TopK: int(r.GetTopK()),
+		Request:   &serve.Request{CallerRef: r.GetRequest(), Fingerprint: r.GetFingerprint(), Payload: payload},
+		Workspace: r.GetWorkspace(), Priority: int(r.GetPriority()),
+		TimeLeft: time.Duration(r.GetTimeLeftUs()) * time.Microsecond, ReplyIn: time.Duration(r.GetReplyInUs()) * time.Microsecond,
+	}, nil
+}
+
+func encodeRelayReply(id serve.RequestID, r *serve.RelayReply) *peer.RelayReply {
+	m := &peer.RelayReply{Id: uint64(id), Body: r.Body, Rest: r.Rest}
+	for _, p := range r.Parts {
+		m.Parts = append(m.Parts, &peer.RelayedPart{Shard: uint32(p.Shard), Seal: p.Seal, Attempts: uint32(p.Attempts)})
+	}
+	for _, f := range r.Failed {
+		m.Failed = append(m.Failed, &peer.RelayedFailure{Shard: uint32(f.Shard), Attempts: uint32(f.Attempts), Ran: uint32(f.Ran)})
+	}
+	return m
+}
+
+// decodeRelayReply checks that a reply names shards of the request only.
+func decodeRelayReply(m *peer.RelayReply, shards int) (*serve.RelayReply, error) {
+	r := &serve.RelayReply{Body: m.GetBody(), Rest: m.GetRest()}
+	for _, p := range m.GetParts() {
+		if int(p.GetShard()) >= shards {
+			return nil, errors.Newf("the reply names shard %d of %d", p.GetShard(), shards)
+		}
+		r.Parts = append(r.Parts, serve.RelayedPart{Shard: int(p.GetShard()), Seal: p.GetSeal(), Attempts: int(p.GetAttempts())})
+	}
+	for _, f := range m.GetFailed() {
+		if int(f.GetShard()) >= shards {
+			return nil, errors.Newf("the reply names shard %d of %d", f.GetShard(), shards)
+		}
+		r.Failed = append(r.Failed, serve.RelayedFailure{Shard: int(f.GetShard()), Attempts: int(f.GetAttempts()), Ran: int(f.GetRan())})
+	}
+	return r, nil
+}
--- a/rpc/peer/search.twirp.go
+++ b/rpc/peer/search.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *searchServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *searchServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "anvilfork.peer", "Search")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 716 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xdf, 0x8f, 0xd2, 0x4a,
 	0x14, 0x0e, 0x14, 0x0a, 0x1c, 0xca, 0xe6, 0x66, 0xee, 0xbd, 0xeb, 0x64, 0xfd, 0x11, 0xac, 0x1a,
--- a/rpc/peer/status.twirp.go
+++ b/rpc/peer/status.twirp.go
@@ -503,7 +503,7 @@
 }
 
 func (s *statusServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *statusServer) ProtocGenTwirpVersion() string {
@@ -517,7 +517,7 @@
 	return baseServicePath(s.pathPrefix, "anvilfork.peer", "Status")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 518 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x53, 0x5f, 0x8b, 0xd3, 0x4e,
 	0x14, 0x25, 0x69, 0x37, 0xdb, 0xde, 0x36, 0xbb, 0xcb, 0xe5, 0xc7, 0x8f, 0xa1, 0xae, 0x10, 0x2a,
