Lease the parts of rates that VMs take by their demand

Cause: a VM that was cut off from the others lost all members after 1.6 s and then set its demand against its own sum alone: it took the whole rate of each workspace until its copy of the store was too old for keys, while the others had taken over its part. The same happened to hubs cut off, and to a VM whose heartbeats come late. Change: a VM uses its part for four intervals after it sent a heartbeat that was answered, a hub counts a silent VM's demand for 200 ms longer; a VM out of touch keeps a small even part and the former number of VMs that share limits. Sums of a hub that is silent stay as a lower bound for two terms. Ruled out: dropping a silent VM's demand later at the hub alone, which leaves the whole rate to the VM that is cut off.

--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -103,7 +103,8 @@
 			m.markChanged(o)
 		}
 		o.direct = now
-		o.offered, o.crashes = ev.Request.Offered, ev.Request.Crashes
+		o.crashes = ev.Request.Crashes
+		m.held[o.node.ID] = heldDemand{offered: ev.Request.Offered, at: now}
 	}
 	m.emit(AnswerHeartbeat{Ticket: ev.Ticket, Reply: m.reply(now, ev.Request)})
 }
@@ -154,7 +155,8 @@
 	}
 	hub.suspect = time.Time{}
 	m.learnNodes(now, hub, r)
-	hub.totals, hub.own, hub.blocked, hub.totalsAt = r.Totals, own, r.Blocked, now
+	hub.blocked, hub.toldAt = r.Blocked, now
+	m.told[hub.node.ID] = toldDemand{totals: r.Totals, own: own, sent: ev.Sent}
 	if r.Update != nil {
 		m.apply(r.Update)
 	}
@@ -178,7 +180,7 @@
 	for _, n := range m.members {
 		if n.node.Peer == ev.Peer {
 			n.suspect = now.Add(suspectTerm)
-			n.gone = n.gone || ev.Refused
+			n.gone, n.ended = n.gone || ev.Refused, n.ended || ev.Refused
 			m.viewDirty = true
 		}
 	}
--- a/core/mesh/hubs.go
+++ b/core/mesh/hubs.go
@@ -56,3 +56,8 @@
 
 // isReader reports whether this VM reads the store for the others.
 func (m *Machine) isReader() bool { return len(m.hubs) > 0 && m.hubs[0].ID == m.self.ID }
+
+// isHub reports whether other VMs send heartbeats to this one, as far as it knows.
+func (m *Machine) isHub() bool {
+	return slices.ContainsFunc(m.hubs, func(h Node) bool { return h.ID == m.self.ID })
+}
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -59,21 +59,19 @@
 
 // member is another VM.
 type member struct {
-	node     Node
-	seen     time.Time // last sign of life, heard directly or from a hub
-	direct   time.Time // last heartbeat from it
-	listed   bool      // told to others: it sends heartbeats here
-	offered  []Offered
-	crashes  []Crash
-	suspect  time.Time           // not asked as a hub before
-	gone     bool                // its process refused a connection; forgotten unless it is heard again
-	changed  uint64              // Machine.changes when it was last changed
-	listSeq  uint64              // its changes up to which list is complete
-	list     map[fleet.VMID]bool // VMs that it has in touch
-	totals   []Offered
-	own      []Offered // this VM's demand that totals holds
-	blocked  []uint64
-	totalsAt time.Time
+	node    Node
+	seen    time.Time // last sign of life, heard directly or from a hub
+	direct  time.Time // last heartbeat from it
+	listed  bool      // told to others: it sends heartbeats here
+	crashes []Crash
+	suspect time.Time           // not asked as a hub before
+	gone    bool                // its process refused a connection; forgotten unless it is heard again
+	ended   bool                // it refused a connection
+	changed uint64              // Machine.changes when it was last changed
+	listSeq uint64              // its changes up to which list is complete
+	list    map[fleet.VMID]bool // VMs that it has in touch
+	blocked []uint64
+	toldAt  time.Time // when it told blocked
 }
 
 // removal is a member that is not in touch any more.
@@ -107,10 +105,15 @@
 	offered   []Offered
 	before    []Offered // the demand before offered
 	crashes   []Crash
-	hubs      []Node // as of the last step
-	rank      int    // of this VM in the order of hubs
-	reading   bool   // a read of the store is in flight
-	relist    bool   // the next read has to list everything
+	held      map[fleet.VMID]heldDemand // of VMs that send heartbeats here
+	told      map[fleet.VMID]toldDemand // by hubs
+	silent    map[fleet.VMID]time.Time  // when VMs fell silent
+	apart     bool                      // isolated, as of the last step
+	sharers   int                       // VMs that share limits, as of the last view
+	hubs      []Node                    // as of the last step
+	rank      int                       // of this VM in the order of hubs
+	reading   bool                      // a read of the store is in flight
+	relist    bool                      // the next read has to list everything
 	readAt    time.Time
 	readFails int
 	changes   uint64 // of what is known of the members
@@ -126,6 +129,7 @@
 	return &Machine{
 		self: s.Self, seeds: s.Seeds, started: now, lastStep: now, readAt: now,
 		members: make(map[fleet.VMID]*member), calls: make(map[string]*peerCall),
+		held: make(map[fleet.VMID]heldDemand), told: make(map[fleet.VMID]toldDemand), silent: make(map[fleet.VMID]time.Time),
 		viewDirty: true,
 	}
 }
@@ -164,6 +168,9 @@
 	m.chooseHubs(now)
 	m.beat(now)
 	m.read(now)
+	if apart := m.isolated(now); apart != m.apart {
+		m.apart, m.viewDirty = apart, true
+	}
 	if m.viewDirty {
 		m.viewDirty = false
 		m.emit(ViewChanged{View: m.view(now)})
--- a/core/mesh/members.go
+++ b/core/mesh/members.go
@@ -9,6 +9,7 @@
 )
 
 func (m *Machine) expire(now time.Time) {
+	m.forgetDemand(now)
 	for id, n := range m.members {
 		if n.listed && (n.gone || now.Sub(n.direct) > m.silence()) {
 			m.unlist(n)
@@ -19,6 +20,12 @@
 		}
 		delete(m.members, id)
 		delete(m.calls, n.node.Peer)
+		switch {
+		case n.ended:
+			delete(m.held, id)
+		case n.node.Phase != Leaving:
+			m.silent[id] = now
+		}
 		m.viewDirty = true
 		m.emit(PeerLost{Node: n.node, Silent: silent})
 	}
@@ -57,7 +64,7 @@
 		o.node = n
 		m.markChanged(o)
 	}
-	o.gone = false
+	o.gone, o.ended = false, false
 	o.seen = now
 	return o
 }
@@ -112,7 +119,7 @@
 		return true
 	}
 	for _, n := range m.members {
-		if n.list[id] && now.Sub(n.totalsAt) <= m.silence() {
+		if n.list[id] && now.Sub(n.toldAt) <= m.silence() {
 			return true
 		}
 	}
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -502,6 +502,74 @@
 	}
 }
 
+// Guards against parts of a rate that add up to more than it while VMs don't
+// hear of each other: one that is cut off serves callers with keys until its copy
+// of the store is too old for that, and the others take over its part; one whose
+// heartbeats come late or fail has a part all the while.
+func TestPartsAddUpWithoutHeartbeats(t *testing.T) {
+	const (
+		step     = 50 * time.Millisecond
+		keyTrust = 4400 * time.Millisecond // 88% of the 5 s of the users' sites
+		allowed  = 350 * time.Millisecond  // as in a surge
+		large    = 4                       // times the demand of the other VMs
+	)
+	for name, fault := range map[string]func(w *world, since time.Duration){
+		"a VM is cut off":          func(w *world, _ time.Duration) { w.cut["vm003"] = true },
+		"the first hub is cut off": func(w *world, _ time.Duration) { w.cut[w.vms["vm007"].view.Hubs[0]] = true },
+		"both hubs are cut off": func(w *world, since time.Duration) {
+			if since == 0 {
+				for _, hub := range w.vms["vm007"].view.Hubs {
+					w.cut[hub] = true
+				}
+			}
+		},
+		"a VM gets through every 2 s": func(w *world, since time.Duration) { w.cut["vm003"] = since%(2*time.Second) >= 500*time.Millisecond },
+		"all lose their hubs": func(w *world, since time.Duration) {
+			if since == 0 {
+				for _, hub := range w.vms["vm007"].view.Hubs {
+					w.vms[hub].running = false
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, worst := newWorld(t, 8), time.Duration(0)
+			var excess []time.Duration
+			const calm = 6 * time.Second
+			for at := time.Duration(0); at < 2*calm; at += step {
+				if at%demandReport == 0 {
+					w.reportDemand(func(id fleet.VMID) float64 {
+						if id == "vm003" {
+							return 10 * large
+						}
+						return 10
+					})
+				}
+				if at >= calm {
+					fault(w, at-calm)
+				}
+				w.run(step)
+				sum := 0.0
+				for _, id := range w.order {
+					v := w.vms[id]
+					if d := v.view.Demand["a"]; v.running && d.Total > 0 && w.now.Sub(v.view.Confirmed) <= keyTrust {
+						sum += d.Own / d.Total
+					}
+				}
+				excess = append(excess, time.Duration((sum-1)*float64(step)))
+				if at >= calm {
+					last := time.Duration(0)
+					for _, e := range excess[max(0, len(excess)-int(5*time.Second/step)):] {
+						last = max(last+e, 0)
+						worst = max(worst, last)
+					}
+				}
+			}
+			assert.Assert(t, worst <= allowed, "the parts exceed the rate by %v of it within 5 s", worst)
+		})
+	}
+}
+
 // Guards against more requests than limits leave room for, beyond the rate of a
 // small workspace in a surge on all VMs at once.
 func TestPartsOfFewRequestsInASurge(t *testing.T) {
