Ask homes again while time is left when calls to them fail

Cause: a query gave a group up after three sub-requests, also when calls between VMs had failed, which take up to 250 ms each: with both homes out of reach for a moment it was refused after 0.75 s though its caller waits longer. Change: after calls that failed, up to eight sub-requests are sent until the deadline. Ruled out: more sub-requests after answers of targets, which would add load.

Before: core/query:TestFaultVMKilled, "both homes of one group for a while", fails with nothing asked 500 ms before the deadline; after: it passes.

--- a/core/query/fault_test.go
+++ b/core/query/fault_test.go
@@ -229,6 +229,24 @@
 		// The caller must see that another VM may do better.
 		r.wantRefusal(outcome.CodeConnectionLost, outcome.Unknown)
 	})
+	t.Run("both homes of one group for a while", func(t *testing.T) {
+		// Calls between VMs fail after 250 ms; the caller waits for a second.
+		r := newRig(t, testConfig(2))
+		sent := r.fanOut(fullCoverage)
+		r.answer(sent[0])
+		lost := sent[1:]
+		for ; r.now.Before(epoch.Add(700 * time.Millisecond)); lost = r.take() {
+			assert.Assert(t, len(lost) > 0, "nothing is asked %v before the deadline", epoch.Add(time.Second).Sub(r.now))
+			r.advance(250 * time.Millisecond)
+			for _, s := range append(lost, r.take()...) {
+				r.step(query.SendFailed{Sub: s.Sub.ID})
+			}
+		}
+		for _, s := range lost {
+			r.answer(s)
+		}
+		r.wantAnswer(2)
+	})
 	t.Run("no home of one group is reached", func(t *testing.T) {
 		r := newRig(t, testConfig(2))
 		sent := r.fanOut(fullCoverage)
--- a/core/query/plan.go
+++ b/core/query/plan.go
@@ -12,6 +12,10 @@
 const (
 	maxPlans = 3
 	maxSends = 3 // sub-requests for one group in one plan, besides those that no home took
+	// maxLostSends is the same after a call to a home that failed. Such calls take
+	// up to a quarter of a second each, and homes that can't be reached for a
+	// moment leave time for more of them.
+	maxLostSends = 8
 
 	firstPause   = 10 * time.Millisecond // before a home is looked for again; doubled each time
 	longestPause = 160 * time.Millisecond
--- a/core/query/reply.go
+++ b/core/query/reply.go
@@ -88,7 +88,7 @@
 		return
 	}
 	id := q.groups[i].id
-	m.subFailed(now, q, i, s, q.Idempotent, outcome.New(outcome.CodeNoSnapshot, outcome.RanAnswerLost,
+	m.subFailed(now, q, i, s, sendsIf(q.Idempotent), outcome.New(outcome.CodeNoSnapshot, outcome.RanAnswerLost,
 		"group %s/%s answered from index version %d of partition map %d", id.Service, id.Group, r.IndexVersion, r.PartitionMap))
 }
 
@@ -145,9 +145,9 @@
 		m.notTaken(now, q, i, s, cause)
 	case outcome.CodeConnectionLost, outcome.CodeTargetFailed:
 		// A home that tried several replicas leaves nothing to gain.
-		m.subFailed(now, q, i, s, r.Attempts <= 1, cause)
+		m.subFailed(now, q, i, s, sendsIf(r.Attempts <= 1), cause)
 	default:
-		m.subFailed(now, q, i, s, false, cause)
+		m.subFailed(now, q, i, s, sendsIf(false), cause)
 	}
 }
 
@@ -202,18 +202,19 @@
 		m.progress(now, q)
 		return
 	}
-	m.subFailed(now, q, i, *s, true, cause)
+	m.subFailed(now, q, i, *s, maxLostSends, cause)
 }
 
 // subFailed ends a sub-request that brought nothing. The group is asked again
-// where that helps and cannot run the request twice.
-func (m *Machine) subFailed(now time.Time, q *running, i int, s sub, helps bool, cause *outcome.Refusal) {
+// as long as fewer than most sub-requests were sent for it and where that cannot
+// run the request twice.
+func (m *Machine) subFailed(now time.Time, q *running, i int, s sub, most uint8, cause *outcome.Refusal) {
 	q.worst = outcome.Worse(q.worst, cause.Outcome)
 	pt := &q.parts[i]
 	safe := q.Idempotent || cause.Outcome == outcome.NotRun
 	switch {
 	case pt.state != partOpen || pt.live > 0:
-	case helps && safe && pt.sends < maxSends:
+	case safe && pt.sends < most && now.Before(q.Deadline):
 		m.sendNext(now, q, i, s.path)
 	default:
 		m.failPart(q, i, cause)
@@ -221,6 +222,14 @@
 	m.progress(now, q)
 }
 
+// sendsIf is the bound on sub-requests where another one may help.
+func sendsIf(helps bool) uint8 {
+	if helps {
+		return maxSends
+	}
+	return 0
+}
+
 // sendNext asks another home, or keeps the part of a suspect query for its turn.
 func (m *Machine) sendNext(now time.Time, q *running, i int, avoid *path) {
 	if q.suspect {
