Take work of a VM again when a call to it is due

A home refuses the work of a VM at once while its circuit breaker for that VM is open, since it could not send the answer. The breaker closes with a call that succeeds, and without work there was none: once open, it stayed open, and the VM that asked had no other home. What opened it at vm1 is not in the logs (calls that fail are logged at debug level). Change: work is taken again when the breaker would allow a call, whose answer is that call. Ruled out: the bound on sub-requests raised before (the part is given up at the first such refusal), relays (the platform's path only), refusals of the frozen VM (gone from the homes by then).

Before: daemon:TestFaultUnreachableVMIsServedAgain fails with "work of the VM is refused for good" after 2 s; after: 5 of 5 runs pass with the race detector. core/query has a case more for homes whose breakers are open, which the code before passes as well.

--- a/core/breaker/breaker.go
+++ b/core/breaker/breaker.go
@@ -41,12 +41,14 @@
 // Allow reports whether a call may be made now: any while the breaker is
 // closed, one each probeInterval while it is open.
 func (b *Breaker) Allow(now time.Time) bool {
-	if !b.Open() {
-		return true
-	}
-	if now.Before(b.probeAt) {
+	if !b.Due(now) {
 		return false
 	}
-	b.probeAt = now.Add(probeInterval)
+	if b.Open() {
+		b.probeAt = now.Add(probeInterval)
+	}
 	return true
 }
+
+// Due reports whether Allow would allow a call now, which is not made yet.
+func (b *Breaker) Due(now time.Time) bool { return !b.Open() || !now.Before(b.probeAt) }
--- a/core/query/fault_test.go
+++ b/core/query/fault_test.go
@@ -247,6 +247,33 @@
 		}
 		r.wantAnswer(2)
 	})
+	t.Run("calls to both homes of one group are not made for a while", func(t *testing.T) {
+		// The circuit breakers of both are open, and one of the homes is back soon.
+		r := newRig(t, testConfig(2))
+		sent := r.fanOut(fullCoverage)
+		r.answer(sent[0])
+		lost := sent[1:]
+		for ; r.now.Before(epoch.Add(600 * time.Millisecond)); lost = r.take() {
+			assert.Equal(t, len(r.finishes), 0, "refused after %v", r.now.Sub(epoch))
+			for ; len(lost) > 0; lost = r.take() {
+				for _, s := range lost {
+					r.step(query.SendFailed{Sub: s.Sub.ID, NotWritten: true})
+				}
+			}
+			r.advance(5 * time.Millisecond)
+		}
+		for ; len(r.finishes) == 0; lost = r.take() {
+			for _, s := range lost {
+				if s.Home == homeA {
+					r.step(query.SendFailed{Sub: s.Sub.ID, NotWritten: true})
+					continue
+				}
+				r.answer(s)
+			}
+			r.advance(5 * time.Millisecond)
+		}
+		r.wantAnswer(2)
+	})
 	t.Run("no home of one group is reached", func(t *testing.T) {
 		r := newRig(t, testConfig(2))
 		sent := r.fanOut(fullCoverage)
--- a/daemon/outbox.go
+++ b/daemon/outbox.go
@@ -98,8 +98,10 @@
 		case msg := <-t.inbox:
 			t.enqueue(msg)
 		case ask := <-t.asks:
+			// Work is taken again when a call is due: without any, its answer
+			// would never be the call that finds the VM reachable.
 			l, ok := t.links[ask.vm]
-			ask.reply <- !ok || !l.breaker.Open()
+			ask.reply <- !ok || l.breaker.Due(time.Now())
 		}
 	}
 }
--- a/daemon/outbox_test.go
+++ b/daemon/outbox_test.go
@@ -246,6 +246,34 @@
 	}
 }
 
+// Guards against a VM whose work is refused for good after calls to it failed:
+// without work for it, no call would find out that it can be reached again.
+func TestFaultUnreachableVMIsServedAgain(t *testing.T) {
+	r := newOutboxRig(t)
+	close(r.peer.hold)
+	r.link.SetMode(standin.LinkHold)
+	for seq := range uint64(2) {
+		r.send(sendSubMsg{to: "b", sub: testSub(seq)})
+		r.failure(t)
+	}
+	reaches := func() bool {
+		reply := make(chan bool, 1)
+		r.outbox.asks <- reachMsg{vm: "b", reply: reply}
+		return <-reply
+	}
+	assert.Assert(t, !reaches())
+	r.link.SetMode(standin.LinkOpen)
+	for end := time.Now().Add(2 * time.Second); !reaches(); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "work of the VM is refused for good")
+	}
+	r.send(sendReplyMsg{to: "b", reply: scatter.SubReply{ID: scatter.SubID{Entry: "b", Seq: 9}, Status: scatter.Answered}})
+	for len(r.batch(t).Replies) == 0 {
+	}
+	for end := time.Now().Add(2 * time.Second); !reaches(); time.Sleep(time.Millisecond) { // until the call has ended
+		assert.Assert(t, time.Now().Before(end), "the answered call does not count")
+	}
+}
+
 // Guards against a batch that the other side refuses because of its size.
 func TestBatchesFit(t *testing.T) {
 	r := newOutboxRig(t)
