Play relays in the soak

Cause: all VMs of the soak were in one zone, since the zone was chosen by the length of their names, so that no run had a VM without targets beside it. Change: VMs alternate between two zones; in runs with an odd seed the shards have targets in the second one and in a third one without VMs, so that VMs in the first zone relay.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -25,12 +25,16 @@
 var (
 	shardNames = []string{"s0", "s1", "s2"}
 	single     = "one"
-	zones      = []string{"z0", "z1"}
+	zones      = []string{"z0", "z1"} // of the VMs
+	// farZones are those of the shards' targets in runs where VMs in the first zone
+	// have none beside them and relay. The last one has no VM.
+	farZones = []string{"z1", "z1", "z2"}
 )
 
 // vm is one daemon process.
 type vm struct {
 	name, ip, dir string
+	zone          string
 	cmd           *exec.Cmd
 	expected      bool // the soak ended it
 	exited        chan struct{}
@@ -46,6 +50,7 @@
 	runs     chan platformtest.Run
 	exits    chan string
 	config   platformtest.Config
+	far      bool // shards have targets in farZones only
 	seq      int
 }
 
@@ -56,7 +61,7 @@
 }
 
 func newFleet(bin, dir string, seed int64) (*fleet, error) {
-	f := &fleet{bin: bin, dir: dir, store: platformtest.NewStore(), runs: make(chan platformtest.Run, 4096), exits: make(chan string, 64)}
+	f := &fleet{bin: bin, dir: dir, store: platformtest.NewStore(), runs: make(chan platformtest.Run, 4096), exits: make(chan string, 64), far: seed%2 == 1}
 	link, err := newProxy(f.store.Address())
 	if err != nil {
 		return nil, err
@@ -73,7 +78,7 @@
 		Keys: map[string][]string{"a": {"key-a1", "key-a2"}, limitedSpace: {"key-l"}}}
 	f.putConfig()
 	for i := range vmCount {
-		v := &vm{name: fmt.Sprintf("vm%d", i), ip: loopback(seed, i)}
+		v := &vm{name: fmt.Sprintf("vm%d", i), ip: loopback(seed, i), zone: zones[i%len(zones)]}
 		v.dir = filepath.Join(dir, v.name)
 		f.vms = append(f.vms, v)
 	}
@@ -96,9 +101,16 @@
 	f.store.Put(platformtest.ConfigKey, f.config.Text())
 }
 
+func (f *fleet) targetZone(service string) string {
+	if f.far && service != single {
+		return farZones[f.seq%len(farZones)]
+	}
+	return zones[f.seq%len(zones)]
+}
+
 func (f *fleet) addTarget(service string) error {
 	f.seq++
-	t, err := platformtest.NewTarget(fmt.Sprintf("i-%d", f.seq), service, zones[f.seq%len(zones)], targetWork, f.runs)
+	t, err := platformtest.NewTarget(fmt.Sprintf("i-%d", f.seq), service, f.targetZone(service), targetWork, f.runs)
 	if err != nil {
 		return err
 	}
@@ -118,7 +130,7 @@
 	}
 	seeds := []string{f.vms[0].ip + ":" + platformtest.PeerPort, f.vms[1].ip + ":" + platformtest.PeerPort}
 	path := filepath.Join(v.dir, "settings.yaml")
-	text := platformtest.Settings(v.name, v.ip, zones[len(v.name)%len(zones)], f.link.address(), seeds)
+	text := platformtest.Settings(v.name, v.ip, v.zone, f.link.address(), seeds)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
