Deny the run of relayed work only when its first call is refused

Cause: found by reading the change: a VM that took relayed work and whose process ended before the next call refuses a connection, and the failure said that the work had not run. The attempts of a route and the truth of refusals rest on that. Change: only the first call can show it. A reply that names another shard than asked for fails the relay once. Zones with targets are collected without a map for each part. Before: gateway:TestFaultRelayCalls, "ended after a reply", fails; after: all cases pass.

--- a/core/serve/relay.go
+++ b/core/serve/relay.go
@@ -44,10 +44,10 @@
 	far := make(map[string][]*part) // by zone with targets
 	for _, p := range q.parts {
 		zones := p.service.zones(now)
-		if zones[e.settings.Zone] {
+		if slices.Contains(zones, e.settings.Zone) {
 			continue
 		}
-		for zone := range zones {
+		for _, zone := range zones {
 			far[zone] = append(far[zone], p)
 		}
 	}
@@ -59,11 +59,11 @@
 }
 
 // zones returns the zones with targets that may get attempts.
-func (s *service) zones(now time.Time) map[string]bool {
-	zones := make(map[string]bool)
+func (s *service) zones(now time.Time) []string {
+	zones := make([]string, 0, len(s.targets))
 	for _, t := range s.targets {
-		if t.usable(now) && !t.ejected(now) {
-			zones[t.reg.Zone] = true
+		if t.usable(now) && !t.ejected(now) && !slices.Contains(zones, t.reg.Zone) {
+			zones = append(zones, t.reg.Zone)
 		}
 	}
 	return zones
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -42,11 +42,12 @@
 func (c *relayClient) run(ctx context.Context, a serve.StartRelay, report func(serve.Event)) {
 	vm := peer.NewRelayProtobufClient("http://"+a.Peer, c.http)
 	reply, err := vm.Start(ctx, encodeWork(a.Work, c.codec.Pack(a.Work.Request)))
+	notRun := refused(err) // a later call that is refused says nothing of the work
 	for ; err == nil; reply, err = vm.Rest(ctx, &peer.RelayRest{Id: reply.GetId()}) {
-		decoded, err := decodeRelayReply(reply, len(a.Work.Shards))
-		if err != nil {
-			report(serve.RelayFailed{Relay: a.Relay, Cause: err.Error()})
-			return
+		decoded, unreadable := decodeRelayReply(reply, len(a.Work.Shards))
+		if unreadable != nil {
+			err = unreadable
+			break
 		}
 		report(serve.RelayReplied{Relay: a.Relay, Reply: decoded})
 		if !decoded.Rest {
@@ -54,7 +55,7 @@
 		}
 	}
 	if ctx.Err() == nil { // otherwise the query has ended
-		report(serve.RelayFailed{Relay: a.Relay, NotRun: refused(err), Cause: err.Error()})
+		report(serve.RelayFailed{Relay: a.Relay, NotRun: notRun, Cause: err.Error()})
 	}
 }
 
--- /dev/null
+++ b/gateway/relay_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"gotest.tools/v3/assert"
+
+	"github.com/anvilfork/anvilfork/core/serve"
+	"github.com/anvilfork/anvilfork/rpc/peer"
+)
+
+// packer stands in for the platform's adapter.
+type packer struct{ CallerCodec }
+
+func (packer) Pack(*serve.Request) []byte { return []byte("packed") }
+
+// relayVM is another VM whose replies a test gives.
+type relayVM struct {
+	start, rest func() (*peer.RelayReply, error)
+}
+
+func (v *relayVM) Start(context.Context, *peer.RelayRequest) (*peer.RelayReply, error) {
+	return v.start()
+}
+
+func (v *relayVM) Rest(context.Context, *peer.RelayRest) (*peer.RelayReply, error) { return v.rest() }
+
+// Guards against a failure that denies a run: a VM that took the work and whose
+// process then ended may have run it.
+func TestFaultRelayCalls(t *testing.T) {
+	one := &peer.RelayReply{Id: 7, Parts: []*peer.RelayedPart{{Shard: 0, Seal: "s", Attempts: 1}}, Body: []byte("records"), Rest: true}
+	last := &peer.RelayReply{Id: 7, Failed: []*peer.RelayedFailure{{Shard: 1, Attempts: 1, Ran: 1}}}
+	for name, c := range map[string]struct {
+		start, rest *peer.RelayReply // nil for a refusal
+		ends        string           // when the process of the VM ends
+		replies     int
+		failed      bool
+		notRun      bool
+	}{
+		"two replies":          {start: one, rest: last, replies: 2},
+		"ended before":         {ends: "before", failed: true, notRun: true},
+		"ended after a reply":  {start: one, ends: "after", replies: 1, failed: true},
+		"refuses the work":     {failed: true},
+		"forgot the work":      {start: one, replies: 1, failed: true},
+		"names another shard":  {start: &peer.RelayReply{Parts: []*peer.RelayedPart{{Shard: 2}}}, failed: true},
+		"another shard failed": {start: &peer.RelayReply{Failed: []*peer.RelayedFailure{{Shard: 2}}}, failed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var server *httptest.Server
+			answer := func(r *peer.RelayReply) func() (*peer.RelayReply, error) {
+				return func() (*peer.RelayReply, error) {
+					if r == nil {
+						return nil, twirp.NotFoundError("nothing")
+					}
+					if c.ends == "after" {
+						assert.NilError(t, server.Listener.Close())
+						server.Config.SetKeepAlivesEnabled(false)
+					}
+					return r, nil
+				}
+			}
+			server = httptest.NewServer(peer.NewRelayServer(&relayVM{start: answer(c.start), rest: answer(c.rest)}))
+			defer server.Close()
+			address := strings.TrimPrefix(server.URL, "http://")
+			if c.ends == "before" {
+				server.Close()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			var replies []serve.RelayReplied
+			var failures []serve.RelayFailed
+			work := &serve.RelayedWork{Shards: []string{"a", "b"}, Request: &serve.Request{}}
+			newRelayClient(packer{}).run(ctx, serve.StartRelay{Relay: 3, Peer: address, Work: work}, func(ev serve.Event) {
+				switch ev := ev.(type) {
+				case serve.RelayReplied:
+					replies = append(replies, ev)
+				case serve.RelayFailed:
+					failures = append(failures, ev)
+				}
+			})
+			assert.Equal(t, len(replies), c.replies)
+			assert.Equal(t, len(failures) > 0, c.failed)
+			if c.failed {
+				assert.Equal(t, failures[0].NotRun, c.notRun, failures[0].Cause)
+			}
+			if c.replies > 0 {
+				assert.DeepEqual(t, replies[0].Reply.Parts, []serve.RelayedPart{{Shard: 0, Seal: "s", Attempts: 1}})
+			}
+		})
+	}
+}
