Tell added VMs of the hubs

Cause: a VM that is added knows the seeds only. A seed that is no hub told it of the VMs that send heartbeats to the seed itself, which are the other added ones, so that these formed a second fleet with the seeds as hubs: their demand was missing in the sums of the others and the reverse, and the parts of a rate added up to 1.5 of it. The logs of the added VMs show vm_lost and vm_found of the seeds every 1.6 s and 17 requests a second admitted on each, an eighth of the rate, which is the part of a VM that knows no demand. Change: a VM that is no hub names the hubs that answer it in its replies.

Before: core/mesh:TestAddedVMsFindHubsThatAreNoSeeds fails, demand 80 of 120 known; after: it passes.

--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -114,6 +114,9 @@
 	if !m.copied.Confirmed().IsZero() {
 		reply.Age = now.Sub(m.copied.Confirmed())
 	}
+	if !m.isHub() {
+		reply.Hubs = m.heardHubs(now)
+	}
 	since := r.NodesSeq
 	if r.NodesOf != m.self.StartedUnixMs || since < m.forgotten {
 		since = 0
@@ -132,6 +135,17 @@
 	return reply
 }
 
+// heardHubs returns the hubs that answer this VM.
+func (m *Machine) heardHubs(now time.Time) []Node {
+	var hubs []Node
+	for _, h := range m.hubs {
+		if t, answered := m.told[h.ID]; answered && now.Sub(t.sent) <= m.partTerm() {
+			hubs = append(hubs, h)
+		}
+	}
+	return hubs
+}
+
 // totalsFor returns the fleet's demand for the workspaces that the sender of a
 // heartbeat serves.
 func (m *Machine) totalsFor(now time.Time, r *Request) []Offered {
@@ -155,6 +169,11 @@
 	}
 	hub.suspect = time.Time{}
 	m.learnNodes(now, hub, r)
+	for _, n := range r.Hubs {
+		if old := m.members[n.ID]; old == nil || !old.gone {
+			m.heard(now, n)
+		}
+	}
 	hub.blocked, hub.toldAt = r.Blocked, now
 	m.told[hub.node.ID] = toldDemand{totals: r.Totals, own: own, sent: ev.Sent}
 	if r.Update != nil {
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -312,6 +312,38 @@
 	}
 }
 
+// Guards against VMs that are added and form a fleet of their own with the seeds,
+// when none of these is a hub: their demand would be missing in the others' sums,
+// and callers of the others would not be sent to them.
+func TestAddedVMsFindHubsThatAreNoSeeds(t *testing.T) {
+	w := newWorld(t, 8)
+	for _, id := range w.order[:3] { // the seeds start last
+		w.vms[id].running = false
+	}
+	w.run(2 * time.Second)
+	for _, id := range w.order[:3] {
+		w.start(id)
+	}
+	w.run(4 * time.Second)
+	assert.Assert(t, !slices.Contains(w.seeds, string(w.vms["vm007"].view.Hubs[0])))
+	for _, id := range []fleet.VMID{"vm008", "vm009", "vm010", "vm011"} {
+		w.order = append(w.order, id)
+		w.start(id)
+	}
+	for range 12 {
+		for _, id := range w.order {
+			w.step(id, LocalDemand{Offered: []Offered{{Workspace: "a", PerSecond: 10}}})
+		}
+		w.run(demandReport)
+	}
+	for _, id := range w.order {
+		v := w.vms[id].view
+		assert.DeepEqual(t, v.Hubs, w.vms["vm007"].view.Hubs)
+		assert.Equal(t, len(v.Nodes), len(w.order), "%s", id)
+		assert.Equal(t, v.Demand["a"], Demand{Own: 10, Total: 120}, "%s", id)
+	}
+}
+
 // Guards against callers that are sent to a VM which is about to stop.
 func TestStoppingVMLeavesTheDirectory(t *testing.T) {
 	w := newWorld(t, 8)
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -71,6 +71,7 @@
 	NodesWhole bool   // Nodes holds all members, not only those that changed
 	Nodes      []Node
 	Gone       []fleet.VMID // members that are not in touch any more
+	Hubs       []Node       // whom to ask instead, when the sender is no hub
 	Totals     []Offered    // fleet's demand for the workspaces that the sender named
 	Blocked    []uint64     // fingerprints of requests that crash targets
 }
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -86,6 +86,9 @@
 	for _, n := range r.Nodes {
 		m.Nodes = append(m.Nodes, encodeNode(n))
 	}
+	for _, n := range r.Hubs {
+		m.Hubs = append(m.Hubs, encodeNode(n))
+	}
 	for _, id := range r.Gone {
 		m.Gone = append(m.Gone, string(id))
 	}
@@ -111,6 +114,9 @@
 	for _, n := range m.GetNodes() {
 		r.Nodes = append(r.Nodes, decodeNode(n))
 	}
+	for _, n := range m.GetHubs() {
+		r.Hubs = append(r.Hubs, decodeNode(n))
+	}
 	for _, id := range m.GetGone() {
 		r.Gone = append(r.Gone, fleet.VMID(id))
 	}
