Let VMs with callers send heartbeats as often in large fleets as in small ones

Cause: the interval of heartbeats grew with the fleet for all VMs alike, 1.07 s at 89 and 3.6 s at 300. Callers were sent to a VM that had ended, and parts of rates followed demand, only after a few of them, though callers use 16 of the VMs.

Change: VMs that callers are sent to, hubs, and VMs with requests take 12 ms for each of them, at least 0.4 s; the others 16 ms for each VM of the fleet. A heartbeat announces the interval, and the term of a part and the silence after which a VM is gone follow from what was announced, so that both sides reckon with the same.

Ruled out: more hubs, which each need the demand of all VMs.

The bounds of the parts of rates hold, also for fleets with few busy VMs and for callers that move (core/mesh:TestPartsAddUpInASurge, TestPartsAddUpWhenCallersMove).

--- a/core/mesh/demand.go
+++ b/core/mesh/demand.go
@@ -19,18 +19,21 @@
 type heldDemand struct {
 	offered []Offered
 	at      time.Time
+	term    time.Duration // for which its VM uses its part
 }
 
 // toldDemand is what the last reply of a hub said of the fleet's demand.
 type toldDemand struct {
 	totals []Offered
-	own    []Offered // this VM's demand that totals holds
-	sent   time.Time // of the heartbeat that was answered
+	own    []Offered     // this VM's demand that totals holds
+	sent   time.Time     // of the heartbeat that was answered
+	term   time.Duration // for which that heartbeat allows to use a part
 }
 
 // partTerm is how long a VM uses its part of limits after it sent a heartbeat
-// that was answered. Then the others may have taken it over.
-func (m *Machine) partTerm() time.Duration { return m.silence() }
+// that was answered, and that announced the next one after an interval. Then the
+// others may have taken the part over.
+func partTerm(every time.Duration) time.Duration { return silentBeats * every }
 
 // demand returns the fleet's demand with the part of this VM in it. What a hub
 // told that is silent now is kept for a while beside what others tell: those may
@@ -69,7 +72,7 @@
 // inCompany reports whether another VM knows of this one's demand.
 func (m *Machine) inCompany(now time.Time) bool {
 	for _, t := range m.told {
-		if now.Sub(t.sent) <= m.partTerm() {
+		if now.Sub(t.sent) <= t.term {
 			return true
 		}
 	}
@@ -77,7 +80,7 @@
 		return false
 	}
 	for _, h := range m.held {
-		if now.Sub(h.at) <= m.partTerm() {
+		if now.Sub(h.at) <= h.term {
 			return true
 		}
 	}
@@ -87,12 +90,12 @@
 // forgetDemand drops what counts no more.
 func (m *Machine) forgetDemand(now time.Time) {
 	for id, t := range m.told {
-		if now.Sub(t.sent) > 2*m.partTerm() {
+		if now.Sub(t.sent) > 2*t.term {
 			delete(m.told, id)
 		}
 	}
 	for id, h := range m.held {
-		if now.Sub(h.at) > m.partTerm()+partMargin {
+		if now.Sub(h.at) > h.term+partMargin {
 			delete(m.held, id)
 		}
 	}
@@ -114,7 +117,7 @@
 	}
 	add(m.offered)
 	for _, h := range m.held {
-		if now.Sub(h.at) <= m.partTerm()+partMargin {
+		if now.Sub(h.at) <= h.term+partMargin {
 			add(h.offered)
 		}
 	}
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -12,26 +12,44 @@
 func (m *Machine) pace(c *peerCall, gotCopy bool) time.Duration {
 	if !m.copied.Confirmed().IsZero() || gotCopy {
 		c.empty = 0
-		return m.usualInterval()
+		return c.every
 	}
 	wait := startInterval << min(c.empty, maxDoublings)
 	c.empty++
-	return min(wait, m.usualInterval())
+	return min(wait, c.every)
 }
 
-func (m *Machine) usualInterval() time.Duration {
+// fleetInterval is the time between two heartbeats of a VM without callers.
+func (m *Machine) fleetInterval() time.Duration {
 	return max(beatInterval, time.Duration(len(m.members)+1)*beatPerNode)
 }
 
+// usualInterval is the time between two heartbeats of this VM. Parts of limits
+// and the addresses for callers depend on those of busy VMs.
+func (m *Machine) usualInterval() time.Duration {
+	if !m.busy() {
+		return m.fleetInterval()
+	}
+	return min(max(beatInterval, time.Duration(m.active)*beatPerBusy), m.fleetInterval())
+}
+
+// busy reports whether this VM has callers, or others rely on what it knows.
+func (m *Machine) busy() bool {
+	return m.isActive || m.isHub() || slices.ContainsFunc(m.offered, func(o Offered) bool { return o.PerSecond > 0 })
+}
+
 // ownReadAge is the age of the copy at which a VM that isn't the reader reads:
 // the reader's watch and a heartbeat are over, and half of another one.
 func (m *Machine) ownReadAge() time.Duration {
 	return watchWait + m.usualInterval()*3/2 + ownReadSlack
 }
 
-// silence is how long a VM may be silent before it counts as out of touch.
-func (m *Machine) silence() time.Duration {
-	return silentBeats * m.usualInterval()
+// silence is how long a hub may be silent before what it told counts no more.
+func (m *Machine) silence() time.Duration { return silentBeats * m.usualInterval() }
+
+// silenceOf is how long a VM may be silent before it counts as out of touch.
+func (m *Machine) silenceOf(n *member) time.Duration {
+	return silentBeats * max(m.usualInterval(), n.every)
 }
 
 // peers returns the addresses that get heartbeats: the hubs, and the seeds that
@@ -62,6 +80,12 @@
 
 // beat sends the heartbeats that are due.
 func (m *Machine) beat(now time.Time) {
+	if busy := m.busy(); busy != m.wasBusy {
+		m.wasBusy = busy
+		if busy {
+			m.hurry(now)
+		}
+	}
 	m.asked = m.peers()
 	for _, addr := range m.asked {
 		c := m.calls[addr]
@@ -73,6 +97,7 @@
 			continue
 		}
 		c.inFlight = true
+		c.every = m.usualInterval()
 		c.before, c.sent = c.sent, m.offered
 		m.emit(SendHeartbeat{Peer: addr, Request: m.request(addr)})
 	}
@@ -82,13 +107,18 @@
 func (m *Machine) selfChanged(now time.Time) {
 	m.self.Edition++
 	m.viewDirty = true
+	m.hurry(now)
+}
+
+// hurry makes the next heartbeats due.
+func (m *Machine) hurry(now time.Time) {
 	for _, c := range m.calls {
 		c.next = now
 	}
 }
 
 func (m *Machine) request(addr string) *Request {
-	r := &Request{From: m.self, AsOf: m.copied.AsOf(), Offered: m.offered, Crashes: m.crashes}
+	r := &Request{From: m.self, Every: m.usualInterval(), AsOf: m.copied.AsOf(), Offered: m.offered, Crashes: m.crashes}
 	for _, n := range m.members {
 		if n.node.Peer == addr {
 			r.NodesSeq, r.NodesOf = n.listSeq, n.node.StartedUnixMs
@@ -98,14 +128,19 @@
 }
 
 func (m *Machine) heartbeat(now time.Time, ev Heartbeat) {
+	every := ev.Request.Every
+	if every <= 0 { // a VM of an earlier version
+		every = m.fleetInterval()
+	}
+	every = min(every, mostBetweenBeats)
 	if o := m.heard(now, ev.Request.From); o != nil {
 		if !o.listed {
 			o.listed = true
 			m.markChanged(o)
 		}
-		o.direct = now
+		o.direct, o.every = now, every
 		o.crashes = ev.Request.Crashes
-		m.held[o.node.ID] = heldDemand{offered: ev.Request.Offered, at: now}
+		m.held[o.node.ID] = heldDemand{offered: ev.Request.Offered, at: now, term: partTerm(every)}
 	}
 	m.emit(AnswerHeartbeat{Ticket: ev.Ticket, Reply: m.reply(now, ev.Request)})
 }
@@ -140,7 +175,7 @@
 func (m *Machine) heardHubs(now time.Time) []Node {
 	var hubs []Node
 	for _, h := range m.hubs {
-		if t, answered := m.told[h.ID]; answered && now.Sub(t.sent) <= m.partTerm() {
+		if t, answered := m.told[h.ID]; answered && now.Sub(t.sent) <= t.term {
 			hubs = append(hubs, h)
 		}
 	}
@@ -157,9 +192,9 @@
 }
 
 func (m *Machine) replied(now time.Time, ev Replied) {
-	var own []Offered
+	told := toldDemand{sent: ev.Sent}
 	if c := m.calls[ev.Peer]; c != nil {
-		own = m.steady(c.sent, c.before)
+		told.own, told.term = m.steady(c.sent, c.before), partTerm(c.every)
 		c.inFlight = false
 		c.next = ev.Sent.Add(m.pace(c, ev.Reply.Update != nil))
 	}
@@ -176,7 +211,8 @@
 		}
 	}
 	hub.blocked, hub.toldAt = r.Blocked, now
-	m.told[hub.node.ID] = toldDemand{totals: r.Totals, own: own, sent: ev.Sent}
+	told.totals = r.Totals
+	m.told[hub.node.ID] = told
 	if r.Update != nil {
 		m.learn(now, r.Update)
 	}
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -11,13 +11,18 @@
 	hubCount = 2 // one may fail without a gap in what the others learn
 
 	beatInterval = 400 * time.Millisecond // a change reaches all VMs within two of these
-	// beatPerNode lengthens the interval in large fleets, so that hubs answer
-	// about 80 heartbeats a second each at any size.
-	beatPerNode = 12 * time.Millisecond
+	// beatPerBusy and beatPerNode lengthen the interval in large fleets, so that
+	// hubs answer at most about 80 heartbeats a second each of VMs with callers,
+	// and 60 of all others, at any size.
+	beatPerBusy = 12 * time.Millisecond
+	beatPerNode = 16 * time.Millisecond
 	// startInterval is the first one of a VM without a copy of the store.
 	startInterval = 60 * time.Millisecond
 	maxDoublings  = 5 // of startInterval
-	silentBeats   = 4 // heartbeats without a sign after which a VM is not in touch
+	// mostBetweenBeats bounds the interval that another VM can announce; a fleet of
+	// 1,800 VMs has it.
+	mostBetweenBeats = 30 * time.Second
+	silentBeats      = 4 // heartbeats without a sign after which a VM is not in touch
 
 	suspectTerm  = 3 * time.Second         // a hub that did not answer is passed over for so long
 	pauseGap     = time.Second             // between two steps: this process was paused or suspended
@@ -60,9 +65,10 @@
 // member is another VM.
 type member struct {
 	node    Node
-	seen    time.Time // last sign of life, heard directly or from a hub
-	direct  time.Time // last heartbeat from it
-	listed  bool      // told to others: it sends heartbeats here
+	seen    time.Time     // last sign of life, heard directly or from a hub
+	direct  time.Time     // last heartbeat from it
+	every   time.Duration // between its heartbeats, as it says; zero when it sends none here
+	listed  bool          // told to others: it sends heartbeats here
 	crashes []Crash
 	suspect time.Time           // not asked as a hub before
 	gone    bool                // its process refused a connection; forgotten unless it is heard again
@@ -88,9 +94,10 @@
 type peerCall struct {
 	inFlight bool
 	next     time.Time
-	sent     []Offered // demand in the last heartbeat
-	before   []Offered // and in the one before it
-	empty    int       // replies in a row without a copy of the store, while this VM has none
+	every    time.Duration // the interval that the last heartbeat announced
+	sent     []Offered     // demand in the last heartbeat
+	before   []Offered     // and in the one before it
+	empty    int           // replies in a row without a copy of the store, while this VM has none
 }
 
 // Machine is the state machine of one VM.
@@ -122,6 +129,9 @@
 	removed   []removal
 	forgotten uint64 // changes up to which removals were dropped
 	serveWith int    // VMs that callers are sent to, at most
+	active    int    // VMs that callers are sent to, as of the last view
+	isActive  bool   // this VM is one of them
+	wasBusy   bool   // as of the last step
 	viewDirty bool
 	out       []Action
 }
@@ -174,15 +184,17 @@
 	}
 	m.expire(now)
 	m.chooseHubs(now)
-	m.beat(now)
-	m.read(now)
 	if apart := m.isolated(now); apart != m.apart {
 		m.apart, m.viewDirty = apart, true
 	}
 	if m.viewDirty {
 		m.viewDirty = false
-		m.emit(ViewChanged{View: m.view(now)})
+		v := m.view(now)
+		m.active, m.isActive = len(v.Active), v.IsActive()
+		m.emit(ViewChanged{View: v})
 	}
+	m.beat(now)
+	m.read(now)
 	return m.out
 }
 
--- a/core/mesh/members.go
+++ b/core/mesh/members.go
@@ -11,11 +11,11 @@
 func (m *Machine) expire(now time.Time) {
 	m.forgetDemand(now)
 	for id, n := range m.members {
-		if n.listed && (n.gone || now.Sub(n.direct) > m.silence()) {
+		if n.listed && (n.gone || now.Sub(n.direct) > silentBeats*n.every) {
 			m.unlist(n)
 		}
 		silent := now.Sub(n.seen)
-		if silent <= m.silence() && !n.gone {
+		if silent <= m.silenceOf(n) && !n.gone {
 			continue
 		}
 		delete(m.members, id)
@@ -79,7 +79,7 @@
 func (m *Machine) inTouch(now time.Time) []Node {
 	nodes := []Node{m.self}
 	for _, n := range m.members {
-		if now.Sub(n.seen) <= m.silence() {
+		if now.Sub(n.seen) <= m.silenceOf(n) {
 			nodes = append(nodes, n.node)
 		}
 	}
@@ -115,7 +115,7 @@
 
 // vouchedFor reports whether a hub has a VM in touch, or this VM itself has.
 func (m *Machine) vouchedFor(now time.Time, id fleet.VMID) bool {
-	if now.Sub(m.members[id].direct) <= m.silence() {
+	if o := m.members[id]; now.Sub(o.direct) <= silentBeats*o.every {
 		return true
 	}
 	for _, n := range m.members {
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -527,9 +527,17 @@
 		calm    = 6 * time.Second
 		allowed = 350 * time.Millisecond // 35% of that second, in units of the rate
 	)
-	for vms, losses := range map[int][]int{8: {0, 1, 2, 3, 4, 5, 6, 7}, 40: {0}, 89: {0}} {
-		for _, lossEvery := range losses { // zero: none is lost
+	for _, tc := range []struct {
+		vms, maxConnections int
+		losses              []int // zero: none is lost
+	}{
+		{8, 0, []int{0, 1, 2, 3, 4, 5, 6, 7}}, {40, 0, []int{0}}, {89, 0, []int{0}},
+		{40, targetConnections, []int{0, 3}}, {89, targetConnections, []int{0, 3}},
+	} {
+		for _, lossEvery := range tc.losses {
+			vms := tc.vms
 			w := newWorld(t, vms)
+			w.maxConnections = tc.maxConnections
 			var excess time.Duration
 			perVM := 5.0
 			for at := time.Duration(0); at < 2*calm; at += step {
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -55,9 +55,10 @@
 // Request is a heartbeat.
 type Request struct {
 	From     Node
-	AsOf     uint64 // revision of the sender's copy of the store
-	NodesSeq uint64 // changes of the hub's members that the sender knows
-	NodesOf  int64  // start of the hub's process that counted them, in Unix milliseconds
+	Every    time.Duration // the sender's next heartbeat comes after this
+	AsOf     uint64        // revision of the sender's copy of the store
+	NodesSeq uint64        // changes of the hub's members that the sender knows
+	NodesOf  int64         // start of the hub's process that counted them, in Unix milliseconds
 	Offered  []Offered
 	Crashes  []Crash
 }
--- a/core/mesh/news.go
+++ b/core/mesh/news.go
@@ -70,7 +70,7 @@
 // a fleet whose heartbeats are as frequent as the reads of the store, they bring
 // it nearly as early, and with fewer calls.
 func (m *Machine) passOn(now time.Time) {
-	if m.usualInterval() <= beatInterval {
+	if m.fleetInterval() <= beatInterval {
 		m.passed = m.copied.AsOf()
 		return
 	}
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -50,7 +50,7 @@
 
 func encodeRequest(r *mesh.Request) *peer.MeshRequest {
 	m := &peer.MeshRequest{
-		From: encodeNode(r.From), AsOf: r.AsOf, NodesSeq: r.NodesSeq, NodesOf: r.NodesOf, Offered: encodeOffered(r.Offered),
+		From: encodeNode(r.From), EveryMs: uint32(r.Every.Milliseconds()), AsOf: r.AsOf, NodesSeq: r.NodesSeq, NodesOf: r.NodesOf, Offered: encodeOffered(r.Offered),
 	}
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, &peer.MeshCrash{Fingerprint: c.Fingerprint, Count: c.Count})
@@ -60,7 +60,7 @@
 
 func decodeRequest(m *peer.MeshRequest) *mesh.Request {
 	r := &mesh.Request{
-		From: decodeNode(m.GetFrom()), AsOf: m.GetAsOf(), NodesSeq: m.GetNodesSeq(), NodesOf: m.GetNodesOf(), Offered: decodeOffered(m.GetOffered()),
+		From: decodeNode(m.GetFrom()), Every: time.Duration(m.GetEveryMs()) * time.Millisecond, AsOf: m.GetAsOf(), NodesSeq: m.GetNodesSeq(), NodesOf: m.GetNodesOf(), Offered: decodeOffered(m.GetOffered()),
 	}
 	for _, c := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, mesh.Crash{Fingerprint: c.GetFingerprint(), Count: c.GetCount()})
