Pack the members in replies to heartbeats

Cause: 300 VMs that start at once each learn the list of all from three seeds. In core/mesh each seed sends 89,000 member records in the first 0.25 s, about 8 MB, and 4 MB twice more when all begin to serve; the smallest VMs have links of 20 Mbit/s.

Change: eight members or more are deflated, for VMs that say that they read it.

Before and after: gateway:TestMembersArePacked, 300 members take at most 30 bytes each; without packing they took about 90.

Ruled out: no list for VMs without a copy, which need it to know their rank among those that read the store.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -99,12 +99,13 @@
 
 // answer encodes the reply to a heartbeat of another VM.
 func (t *controlTask) answer(a mesh.AnswerHeartbeat) {
-	reply, err := t.encoder.encode(a.Reply)
+	ticket := a.Ticket.(heartbeatTicket)
+	reply, err := t.encoder.encode(a.Reply, ticket.readsPacked)
 	if err != nil { // the other VM sees a call that times out
 		t.log.Error().Err(err).Str("event", "heartbeat_not_answered").Msg("a reply to a heartbeat could not be encoded")
 		return
 	}
-	a.Ticket.(heartbeatTicket) <- reply
+	ticket.reply <- reply
 }
 
 // passOn sends news to another VM.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -61,9 +61,10 @@
 
 // Exchange implements peer.Mesh.
 func (s *peerServer) Exchange(ctx context.Context, r *peer.MeshRequest) (*peer.MeshReply, error) {
-	answer := make(heartbeatTicket, 1)
+	answer := make(chan *peer.MeshReply, 1)
+	ticket := heartbeatTicket{readsPacked: r.GetReadsPacked(), reply: answer}
 	select {
-	case s.control <- mesh.Heartbeat{Request: decodeRequest(r), Ticket: answer}:
+	case s.control <- mesh.Heartbeat{Request: decodeRequest(r), Ticket: ticket}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -89,5 +90,8 @@
 	}
 }
 
-// heartbeatTicket takes the encoded reply to a heartbeat; it holds one.
-type heartbeatTicket chan *peer.MeshReply
+// heartbeatTicket takes the encoded reply to a heartbeat.
+type heartbeatTicket struct {
+	readsPacked bool
+	reply       chan<- *peer.MeshReply // has room for it
+}
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,8 +10,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mesh"
 	"github.com/anvilfork/anvilfork/core/mirror"
 	"github.com/anvilfork/anvilfork/rpc/peer"
@@ -59,3 +62,30 @@
 	_, err := s.Tell(context.Background(), &peer.MeshNews{After: 7, Update: []byte("no update")})
 	assert.ErrorContains(t, err, "update")
 }
+
+// Guards against members that are changed on their way, and against lists that
+// fill the links of small hubs when a large fleet starts: each of 300 VMs sent
+// 8 MB of them.
+func TestMembersArePacked(t *testing.T) {
+	const vms, mostBytes = 300, 30
+	reply := &mesh.Reply{From: mesh.Node{ID: "hub"}, Gone: []fleet.VMID{"x"}, NodesWhole: true, NodesSeq: 7}
+	for i := range vms {
+		reply.Nodes = append(reply.Nodes, mesh.Node{
+			ID: fleet.VMID(fmt.Sprintf("front-atchafalaya-%d", i)), Peer: fmt.Sprintf("10.4.%d.%d:7000", i/100, i%100), Front: fmt.Sprintf("10.4.%d.%d:7001", i/100, i%100),
+			Zone: fmt.Sprintf("z%d", i%4), Region: "r", StartedUnixMs: 1_700_000_000_000 + int64(i*7919%1000), Phase: mesh.Serving, Power: float64(i%3) / 4, Edition: 2,
+		})
+	}
+	for _, readsPacked := range []bool{true, false} {
+		encoded, err := new(updateEncoder).encode(reply, readsPacked)
+		assert.NilError(t, err)
+		size := proto.Size(encoded)
+		assert.Assert(t, !readsPacked || size <= vms*mostBytes, "%d bytes", size)
+		assert.Equal(t, readsPacked, len(encoded.Nodes) == 0)
+		back, err := decodeReply(encoded)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back.Nodes, reply.Nodes)
+		assert.DeepEqual(t, back.Gone, reply.Gone)
+	}
+	_, err := decodeReply(&peer.MeshReply{Packed: []byte("no members")})
+	assert.ErrorContains(t, err, "MeshMembers")
+}
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -15,8 +15,8 @@
 	"github.com/anvilfork/anvilfork/rpc/peer"
 )
 
-// maxUpdateBytes bounds an inflated update; the store holds values up to 1 MiB.
-const maxUpdateBytes = 64 << 20
+// maxInflatedBytes bounds an inflated update; the store holds values up to 1 MiB.
+const maxInflatedBytes = 64 << 20
 
 func encodeNode(n mesh.Node) *peer.MeshNode {
 	return &peer.MeshNode{
@@ -32,6 +32,22 @@
 	}
 }
 
+func encodeNodes(all []mesh.Node) []*peer.MeshNode {
+	var out []*peer.MeshNode
+	for _, n := range all {
+		out = append(out, encodeNode(n))
+	}
+	return out
+}
+
+func decodeNodes(all []*peer.MeshNode) []mesh.Node {
+	var out []mesh.Node
+	for _, n := range all {
+		out = append(out, decodeNode(n))
+	}
+	return out
+}
+
 func encodeOffered(all []mesh.Offered) []*peer.MeshOffered {
 	var out []*peer.MeshOffered
 	for _, o := range all {
@@ -50,7 +66,8 @@
 
 func encodeRequest(r *mesh.Request) *peer.MeshRequest {
 	m := &peer.MeshRequest{
-		From: encodeNode(r.From), EveryMs: uint32(r.Every.Milliseconds()), AsOf: r.AsOf, NodesSeq: r.NodesSeq, NodesOf: r.NodesOf, Offered: encodeOffered(r.Offered),
+		From: encodeNode(r.From), EveryMs: uint32(r.Every.Milliseconds()), AsOf: r.AsOf,
+		NodesSeq: r.NodesSeq, NodesOf: r.NodesOf, ReadsPacked: true, Offered: encodeOffered(r.Offered),
 	}
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, &peer.MeshCrash{Fingerprint: c.Fingerprint, Count: c.Count})
@@ -75,28 +92,31 @@
 	encoded []byte
 }
 
-func (e *updateEncoder) encode(r *mesh.Reply) (*peer.MeshReply, error) {
+// leastPacked is the number of members from which on deflating them is worth it.
+const leastPacked = 8
+
+// encode encodes a reply for a VM that reads packed members, or for one that does not.
+func (e *updateEncoder) encode(r *mesh.Reply, readsPacked bool) (*peer.MeshReply, error) {
 	m := &peer.MeshReply{
 		From: encodeNode(r.From), AgeUs: r.Age.Microseconds(), NodesSeq: r.NodesSeq, NodesWhole: r.NodesWhole,
-		Totals: encodeOffered(r.Totals), Blocked: r.Blocked,
+		Nodes: encodeNodes(r.Nodes), Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.Totals), Blocked: r.Blocked,
 	}
 	if r.Age < 0 {
 		m.AgeUs = -1
 	}
-	for _, n := range r.Nodes {
-		m.Nodes = append(m.Nodes, encodeNode(n))
-	}
-	for _, n := range r.Hubs {
-		m.Hubs = append(m.Hubs, encodeNode(n))
-	}
 	for _, id := range r.Gone {
 		m.Gone = append(m.Gone, string(id))
 	}
-	if r.Update == nil {
-		return m, nil
-	}
 	var err error
-	m.Update, err = e.encodeUpdate(r.Update)
+	if readsPacked && len(m.Nodes) >= leastPacked {
+		if m.Packed, err = deflate(&peer.MeshMembers{Nodes: m.Nodes, Gone: m.Gone}); err != nil {
+			return nil, err
+		}
+		m.Nodes, m.Gone = nil, nil
+	}
+	if r.Update != nil {
+		m.Update, err = e.encodeUpdate(r.Update)
+	}
 	return m, err
 }
 
@@ -112,16 +132,18 @@
 }
 
 func decodeReply(m *peer.MeshReply) (*mesh.Reply, error) {
+	if len(m.GetPacked()) > 0 {
+		var members peer.MeshMembers
+		if err := inflate(m.GetPacked(), &members); err != nil {
+			return nil, err
+		}
+		m.Nodes, m.Gone = members.GetNodes(), members.GetGone()
+	}
 	r := &mesh.Reply{
 		From: decodeNode(m.GetFrom()), Age: time.Duration(m.GetAgeUs()) * time.Microsecond, NodesSeq: m.GetNodesSeq(),
 		NodesWhole: m.GetNodesWhole(), Totals: decodeOffered(m.GetTotals()), Blocked: m.GetBlocked(),
 	}
-	for _, n := range m.GetNodes() {
-		r.Nodes = append(r.Nodes, decodeNode(n))
-	}
-	for _, n := range m.GetHubs() {
-		r.Hubs = append(r.Hubs, decodeNode(n))
-	}
+	r.Nodes, r.Hubs = decodeNodes(m.GetNodes()), decodeNodes(m.GetHubs())
 	for _, id := range m.GetGone() {
 		r.Gone = append(r.Gone, fleet.VMID(id))
 	}
@@ -133,43 +155,51 @@
 	return r, err
 }
 
-// encodeUpdate deflates an update: entries are alike, and traffic between zones
-// is dear.
 func encodeUpdate(u *mirror.Update) ([]byte, error) {
 	m := &peer.MeshUpdate{Complete: u.Complete, AsOf: u.AsOf}
 	for _, e := range u.Entries {
 		m.Entries = append(m.Entries, &peer.MeshEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
+	return deflate(m)
+}
+
+func decodeUpdate(encoded []byte) (*mirror.Update, error) {
+	var m peer.MeshUpdate
+	if err := inflate(encoded, &m); err != nil {
+		return nil, err
+	}
+	u := &mirror.Update{Complete: m.GetComplete(), AsOf: m.GetAsOf()}
+	for _, e := range m.GetEntries() {
+		u.Entries = append(u.Entries, mirror.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
+	}
+	return u, nil
+}
+
+// deflate encodes entries or members, which are alike: traffic between zones is
+// dear, and the smallest VMs have narrow links.
+func deflate(m proto.Message) ([]byte, error) {
 	plain, err := proto.Marshal(m)
 	if err != nil {
-		return nil, errors.Wrap(err, "update")
+		return nil, errors.Wrapf(err, "%T", m)
 	}
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
 	if err != nil {
-		return nil, errors.Wrap(err, "update")
+		return nil, errors.Wrapf(err, "%T", m)
 	}
 	if _, err := w.Write(plain); err != nil {
-		return nil, errors.Wrap(err, "update")
+		return nil, errors.Wrapf(err, "%T", m)
 	}
 	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "update")
+		return nil, errors.Wrapf(err, "%T", m)
 	}
 	return b.Bytes(), nil
 }
 
-func decodeUpdate(encoded []byte) (*mirror.Update, error) {
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(encoded)), maxUpdateBytes))
+func inflate(encoded []byte, into proto.Message) error {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(encoded)), maxInflatedBytes))
 	if err != nil {
-		return nil, errors.Wrap(err, "update")
-	}
-	var m peer.MeshUpdate
-	if err := proto.Unmarshal(plain, &m); err != nil {
-		return nil, errors.Wrap(err, "update")
+		return errors.Wrapf(err, "%T", into)
 	}
-	u := &mirror.Update{Complete: m.GetComplete(), AsOf: m.GetAsOf()}
-	for _, e := range m.GetEntries() {
-		u.Entries = append(u.Entries, mirror.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
-	}
-	return u, nil
+	return errors.Wrapf(proto.Unmarshal(plain, into), "%T", into)
 }
