Deliver unconfirmed work again for two seconds at most

Cause: a sub-request that waits out the pauses of the circuit breaker could be delivered again with a claim older than the 5 s of decision 8.

Change: 2 s after the first delivery it is given up as one that may have run.

--- a/daemon/outbox.go
+++ b/daemon/outbox.go
@@ -21,6 +21,7 @@
 	maxCallsInFlight = 4       // Deliver calls to one VM at a time; messages that come meanwhile share the next
 	maxDeliveries    = 4       // of a message that does no harm when it arrives twice: with the pauses of the breaker, until its VM counts as gone
 	deliverTimeout   = 250 * time.Millisecond
+	redeliverFor     = 2 * time.Second // after the first delivery; a VM that is silent for so long counts as gone
 )
 
 // delivered reports the end of a Deliver call to the outbox task itself.
@@ -42,7 +43,8 @@
 type outItem struct {
 	msg        peerMsg
 	deliveries int
-	maybe      bool // one of them may have arrived
+	since      time.Time // of the first delivery
+	maybe      bool      // one of them may have arrived
 }
 
 // outboxTask owns the data connections to the other VMs. Messages for one VM
@@ -297,11 +299,15 @@
 	l.transport.CloseIdleConnections()
 }
 
-// splitLate separates the sub-requests whose deadline passed while they waited.
+// splitLate separates the sub-requests whose deadline passed while they waited,
+// and those that wait too long to be delivered again.
 func splitLate(batch []outItem, now time.Time) (kept, late []outItem) {
 	kept = make([]outItem, 0, len(batch))
 	for _, item := range batch {
-		if m, ok := item.msg.(sendSubMsg); ok && !now.Before(m.sub.Deadline) {
+		if item.since.IsZero() {
+			item.since = now
+		}
+		if m, ok := item.msg.(sendSubMsg); ok && (!now.Before(m.sub.Deadline) || now.Sub(item.since) > redeliverFor) {
 			late = append(late, item)
 			continue
 		}
--- a/daemon/outbox_test.go
+++ b/daemon/outbox_test.go
@@ -200,6 +200,19 @@
 		r.link.Close()
 		assert.Assert(t, r.failure(t).(subFailedMsg).failure == maybeWritten, "the first call may have arrived")
 	})
+	t.Run("a VM that is silent for long", func(t *testing.T) {
+		r := learned(t)
+		r.link.SetMode(standin.LinkHold)
+		began := time.Now()
+		r.send(sendSubMsg{to: "b", sub: testSub(2)})
+		view := &fleet.View{VMs: []fleet.VM{{ID: "b", Peer: "http://" + r.link.Address()}}}
+		for len(r.entry) == 0 && time.Since(began) < testWait {
+			r.outbox.views <- view
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, r.failure(t).(subFailedMsg).failure == maybeWritten)
+		assert.Assert(t, time.Since(began) < redeliverFor+2*time.Second)
+	})
 	t.Run("deadline", func(t *testing.T) {
 		r := learned(t)
 		r.link.SetMode(standin.LinkHold)
