Let VMs without callers wait their turn to read the store

Cause: from the ninth in rank on, all VMs without a copy of the store listed it 1.6 s after their start, and all whose copy was not confirmed read it at one time. Of 300 VMs that start while a listing takes 3 s, all 300 read; a listing takes several calls, and the platform allows some 540 a second to all.

Change: one VM after the other, 120 ms apart, without a last rank. VMs with callers, and hubs, wait for eight ranks at most as before, since their copy would be too old for keys.

Ruled out: a bound on the rank for the first read alone, since the same VMs read again when the store is away.

--- a/core/mesh/news_test.go
+++ b/core/mesh/news_test.go
@@ -105,3 +105,15 @@
 		assert.Equal(t, m.copied.AsOf(), c.want)
 	}
 }
+
+// Guards against VMs that all list the store because the first listing is slow:
+// each takes several calls of the few that the platform allows in a second.
+func TestSlowListingIsNotRepeatedByAll(t *testing.T) {
+	const mostCalls = 40
+	w := newWorld(t, largeFleet())
+	w.listTime = 3 * time.Second
+	w.run(3 * time.Second)
+	assert.Assert(t, w.calls <= mostCalls, "%d reads of the store", w.calls)
+	w.run(2 * time.Second)
+	w.assertInForce("config")
+}
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -41,8 +41,19 @@
 	if m.copied.Confirmed().IsZero() { // passed on by another VM
 		return later(due, m.firstRead())
 	}
-	own := m.copied.Confirmed().Add(m.ownReadAge() + ownReadPerRank*time.Duration(min(m.rank, ownReadRanks)))
-	return later(due, own)
+	return later(due, m.copied.Confirmed().Add(m.ownReadAge()+m.turn()))
+}
+
+// turn is how much longer than the first in rank this VM waits before it reads
+// the store itself. A slow reader is not replaced by all VMs at once: they share
+// the reads that the platform allows. One with callers does not wait until its
+// copy is too old for keys.
+func (m *Machine) turn() time.Duration {
+	rank := m.rank
+	if m.busy() {
+		rank = min(rank, ownReadRanks)
+	}
+	return ownReadPerRank * time.Duration(rank)
 }
 
 // firstRead returns when a VM without a copy reads the store. When all VMs
@@ -56,7 +67,7 @@
 	if len(m.members) == 0 {
 		return m.started.Add(aloneHold + spreadOver(aloneSpread, string(m.self.ID)))
 	}
-	return m.started.Add(startHold + ownReadPerRank*time.Duration(min(m.rank, ownReadRanks)))
+	return m.started.Add(startHold + m.turn())
 }
 
 // spreadOver returns a part of d that depends on a VM's id.
