Let callers who come to a VM cause no read of the store

Cause: a VM that gets callers counts as busy at once, and its copy, confirmed as seldom as one without callers needs, as too old for a busy one.

Change: the age at which a VM reads by itself follows from the interval of the last heartbeat that was answered.

Ruled out: a read that waits for the heartbeat under way, which a hub that is gone would hold up.

--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -6,9 +6,9 @@
 )
 
 // pace returns the time until the next heartbeat to an address. A VM without a
-// copy of the store, or one whose age it does not know, serves nobody and asks often at first. Where nobody has a
-// copy, it asks less and less often: a large fleet that starts at once would
-// otherwise keep the seeds from reading.
+// copy of the store, or with one of unknown age, serves nobody and asks often at
+// first. Where nobody has a copy, it asks less and less often: a large fleet that
+// starts at once would otherwise keep the seeds from reading.
 func (m *Machine) pace(c *peerCall, gotCopy bool) time.Duration {
 	if !m.copied.Confirmed().IsZero() || gotCopy {
 		c.empty = 0
@@ -41,7 +41,7 @@
 // ownReadAge is the age of the copy at which a VM that isn't the reader reads:
 // the reader's watch and a heartbeat are over, and half of another one.
 func (m *Machine) ownReadAge() time.Duration {
-	return watchWait + m.usualInterval()*3/2 + ownReadSlack
+	return watchWait + max(m.usualInterval(), m.answered)*3/2 + ownReadSlack
 }
 
 // silence is how long a hub may be silent before what it told counts no more.
@@ -195,6 +195,7 @@
 	told := toldDemand{sent: ev.Sent}
 	if c := m.calls[ev.Peer]; c != nil {
 		told.own, told.term = m.steady(c.sent, c.before), partTerm(c.every)
+		m.answered = c.every
 		c.inFlight = false
 		c.next = ev.Sent.Add(m.pace(c, ev.Reply.Update != nil))
 	}
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -127,11 +127,12 @@
 	passed    uint64 // revision up to which news was passed on
 	changes   uint64 // of what is known of the members
 	removed   []removal
-	forgotten uint64 // changes up to which removals were dropped
-	serveWith int    // VMs that callers are sent to, at most
-	active    int    // VMs that callers are sent to, as of the last view
-	isActive  bool   // this VM is one of them
-	wasBusy   bool   // as of the last step
+	forgotten uint64        // changes up to which removals were dropped
+	serveWith int           // VMs that callers are sent to, at most
+	active    int           // VMs that callers are sent to, as of the last view
+	isActive  bool          // this VM is one of them
+	wasBusy   bool          // as of the last step
+	answered  time.Duration // interval that the last heartbeat with a reply announced
 	viewDirty bool
 	out       []Action
 }
--- a/core/mesh/pace_test.go
+++ b/core/mesh/pace_test.go
@@ -73,6 +73,27 @@
 	}
 }
 
+// Guards against a read of the store by every VM that callers come to: its copy
+// was confirmed as seldom as a VM without callers needs.
+func TestCallersCauseNoReads(t *testing.T) {
+	w := newWorld(t, largeFleet())
+	w.maxConnections = targetConnections
+	w.run(10 * time.Second)
+	before := w.calls
+	w.run(2 * time.Second)
+	usual := w.calls - before
+	idle := w.vms[w.order[len(w.order)-1]]
+	for w.now.Sub(idle.view.Confirmed) < idle.machine.fleetInterval()*4/5 { // its heartbeat is nearly due
+		w.run(stepTime)
+	}
+	before = w.calls
+	for _, id := range w.order[20:60] {
+		w.step(id, LocalDemand{Offered: []Offered{{Workspace: "a", PerSecond: 1}}})
+	}
+	w.run(2 * time.Second)
+	assert.Assert(t, w.calls-before <= usual+2, "%d reads of the store in 2 s, %d before", w.calls-before, usual)
+}
+
 // Guards against a VM of an earlier version, which announces no interval, that
 // counts as silent at once, and against one that is never missed.
 func TestAnnouncedIntervals(t *testing.T) {
