Let the outbox task count a failed call before it tells of it

The goroutine of a call told the entry task of a failure before the outbox task heard of it. A sub-request sent upon it could begin a call before the first failure counted, and the breaker took both for one.

Change: the goroutine makes the call and nothing else; the outbox task judges the end, then tells what was lost. Late sub-requests are sorted out before the call. The test has its first form again, without a wait.

--- a/daemon/delivery.go
+++ b/daemon/delivery.go
@@ -18,43 +18,36 @@
 
 // delivered reports the end of a Deliver call to the outbox task itself.
 type delivered struct {
-	link   *peerLink
-	began  time.Time // zero when all messages were too late for a call
-	ack    *peer.Ack
-	err    error
-	failed []outItem // to be delivered once more
+	link  *peerLink
+	batch []outItem
+	began time.Time
+	ack   *peer.Ack
+	err   error
 }
 
 // deliver runs in a goroutine of its own for the time of one call.
-func (t *outboxTask) deliver(l *peerLink, batch []outItem, runsOnce bool) {
-	now := time.Now()
-	batch, late := splitLate(batch, now)
-	t.fail(late, notWritten)
-	end := delivered{link: l}
-	if len(batch) > 0 {
-		var err error
-		end.began = now
-		end.ack, err = peer.NewSearchProtobufClient(l.vm.Peer, l.client).Deliver(t.ctx, t.batch(l.vm.ID, batch, now))
-		if err != nil {
-			t.deliverFailed(&end, batch, runsOnce, err)
-		}
-	}
-	send(t.ctx, t.done, end)
+func (t *outboxTask) deliver(l *peerLink, batch []outItem, now time.Time) {
+	d := delivered{link: l, batch: batch, began: now}
+	d.ack, d.err = peer.NewSearchProtobufClient(l.vm.Peer, l.client).Deliver(t.ctx, t.batch(l.vm.ID, batch, now))
+	send(t.ctx, t.done, d)
 }
 
-func (t *outboxTask) deliverFailed(end *delivered, batch []outItem, runsOnce bool, err error) {
-	l, failure := end.link, failureOf(err)
-	t.log.Debug().Str("event", "deliver_failed").Str("vm", string(l.vm.ID)).Err(err).
-		Int("messages", len(batch)).Dur("took_ms", time.Since(end.began)).Msg("messages to a VM failed")
-	var lost []outItem
-	end.failed, lost = splitRepeatable(batch, failure, runsOnce)
+// failed tells what a call that failed lost, and returns what may be delivered
+// once more.
+func (t *outboxTask) failed(d delivered) []outItem {
+	if d.err == nil {
+		return nil
+	}
+	failure := failureOf(d.err)
+	t.log.Debug().Str("event", "deliver_failed").Str("vm", string(d.link.vm.ID)).Err(d.err).
+		Int("messages", len(d.batch)).Int64("took_ms", time.Since(d.began).Milliseconds()).Msg("messages to a VM failed")
+	again, lost := splitRepeatable(d.batch, failure, d.link.runsOnce)
 	t.fail(lost, failure)
-	if failure == unanswerable { // then the call itself went well
-		return
+	if failure != unanswerable {
+		// What silenced one connection may have silenced all, and new ones work.
+		d.link.transport.CloseIdleConnections()
 	}
-	end.err = err
-	// What silenced one connection may have silenced all, and new ones work.
-	l.transport.CloseIdleConnections()
+	return again
 }
 
 // splitLate separates the sub-requests whose deadline passed while they waited,
--- a/daemon/outbox.go
+++ b/daemon/outbox.go
@@ -125,17 +125,19 @@
 	}
 }
 
-// ended starts the next call.
+// ended starts the next call. The breaker comes first: what the entry task sends
+// when it hears of a failure must find it counted.
 func (t *outboxTask) ended(d delivered) {
 	l := d.link
 	l.calls--
 	t.judge(d)
+	again := t.failed(d)
 	if t.links[l.vm.ID] != l {
-		t.fail(d.failed, maybeWritten)
+		t.fail(again, maybeWritten)
 		l.transport.CloseIdleConnections()
 		return
 	}
-	l.waiting = append(d.failed, l.waiting...)
+	l.waiting = append(again, l.waiting...)
 	t.flush(l)
 }
 
@@ -143,10 +145,9 @@
 func (t *outboxTask) judge(d delivered) {
 	l := d.link
 	wasOpen := l.breaker.Open()
-	switch {
-	case d.err != nil:
+	if d.err != nil && failureOf(d.err) != unanswerable {
 		l.breaker.Failed(d.began, time.Now())
-	case !d.began.IsZero():
+	} else { // a VM that refuses work for want of a way back can be reached
 		l.breaker.Succeeded()
 		l.runsOnce = l.runsOnce || d.ack.GetRunsOnce()
 	}
@@ -221,7 +222,8 @@
 	if len(l.waiting) == 0 {
 		return
 	}
-	if !l.breaker.Allow(time.Now()) {
+	now := time.Now()
+	if !l.breaker.Allow(now) {
 		var movable []outItem
 		movable, l.waiting = splitMovable(l.waiting)
 		t.fail(movable, notWritten)
@@ -229,10 +231,13 @@
 	}
 	for len(l.waiting) > 0 && l.calls < maxCallsInFlight {
 		n := batchLength(l.waiting)
-		batch := l.waiting[:n:n]
+		batch, late := splitLate(l.waiting[:n], now)
 		l.waiting = l.waiting[n:]
-		l.calls++
-		go t.deliver(l, batch, l.runsOnce)
+		t.fail(late, notWritten)
+		if len(batch) > 0 {
+			l.calls++
+			go t.deliver(l, batch, now)
+		}
 	}
 }
 
--- a/daemon/outbox_test.go
+++ b/daemon/outbox_test.go
@@ -368,9 +368,7 @@
 		r.outbox.asks <- reachMsg{vm: "b", reply: reply}
 		return <-reply
 	}
-	for end := time.Now().Add(300 * time.Millisecond); reaches(); time.Sleep(time.Millisecond) { // the task hears of the failed call after the entry task
-		assert.Assert(t, time.Now().Before(end), "the failed calls do not count")
-	}
+	assert.Assert(t, !reaches(), "the failed calls do not count")
 	r.link.SetMode(standin.LinkOpen)
 	for end := time.Now().Add(2 * time.Second); !reaches(); time.Sleep(10 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(end), "work of the VM is refused for good")
