Keep off targets that leave or ask for a pause; bound what is read

Cause: no code read the notice of a target that its process is about to end, nor the time for which a target that sheds a request wants no more; so requests went on to reach it.

Change: the notice is kept by process and outlasts the entry; a leaving target serves only for want of another, for half of the allowed time. A pause is kept per target, and a request that no target takes in time is refused at once with the time that is left. Heads of at most 8 KB are parsed when all of them is there, bodies grow with what arrives, from a budget of bytes in a task of its own that ends the slowest first; callers' bodies and answers have deadlines. A caller's timeout beyond that of the route no longer counts as time that the other callers have waited.

Shown: platform:TestFaultEndlessAnswers7 and TestFaultSlowCallers8 failed before (heap above 150 and 100 MB).

--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -131,12 +131,12 @@
 func (e *Engine) setDeadlines(now time.Time, q *query) {
 	state := e.route(q.route.Name)
 	timeout := q.request.Timeout
-	if timeout <= 0 {
+	if timeout <= 0 || timeout > q.route.Timeout {
 		timeout = q.route.Timeout
 	}
 	state.maxTimeout = max(state.maxTimeout, timeout)
 	waited := state.maxTimeout - timeout
-	q.deadline = now.Add(min(timeout-deadlineMargin, q.route.Timeout))
+	q.deadline = now.Add(timeout - deadlineMargin)
 	q.objective = now.Add(q.route.Objective - waited - objectiveMargin)
 }
 
@@ -207,11 +207,15 @@
 	if now.Before(q.objective) {
 		limit = min(limit, q.objective.Sub(now))
 	}
-	down, late, wait := 0, 0, time.Duration(0)
+	down, late, wait, backoff := 0, 0, time.Duration(0), time.Duration(0)
 	for _, sub := range q.subRequests {
+		b := sub.service.backoffLeft(now)
 		switch w, ok := e.expectedWait(now, sub.service, q.priority); {
 		case !ok:
 			down++
+		case b > limit:
+			down++
+			backoff = max(backoff, b)
 		case w > limit:
 			late++
 			wait = max(wait, w-limit)
@@ -219,10 +223,14 @@
 	}
 	maxMissing := len(q.subRequests) - q.minAnswered
 	if down > maxMissing {
-		return refusal(outcome.CodeNoReplica, addJitter(retryAfterNoTarget, q.request.Fingerprint), "%d of %d services have no target in service", down, len(q.subRequests))
+		after := retryAfterNoTarget
+		if backoff > 0 {
+			after = backoff
+		}
+		return refusal(outcome.CodeNoReplica, addJitter(after, q.request.Fingerprint), "%d of %d services have no target in service", down, len(q.subRequests))
 	}
 	if down+late > maxMissing {
-		return refusal(outcome.CodeOverloaded, addJitter(min(max(wait, minRetryAfter), maxRetryAfter), q.request.Fingerprint),
+		return refusal(outcome.CodeOverloaded, addJitter(max(min(max(wait, minRetryAfter), maxRetryAfter), backoff), q.request.Fingerprint),
 			"work waits %v longer than the objective allows", wait.Round(time.Millisecond))
 	}
 	return nil
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -40,7 +40,7 @@
 			return
 		}
 	}
-	if !e.canServe(now, sub.service) {
+	if !e.canServe(now, sub.service) || now.Add(sub.service.backoffLeft(now)).After(sub.query.deadline) {
 		e.failSubRequest(now, sub)
 		return
 	}
@@ -166,6 +166,16 @@
 // (additive increase, multiplicative decrease) after an attempt.
 func (e *Engine) recordResult(now time.Time, a *attempt, ev AttemptDone) {
 	t, elapsed := a.target, now.Sub(a.started)
+	if ev.Leaving {
+		e.targetLeaving(now, t)
+		if a.subRequest != nil && a.subRequest.query.remote != nil {
+			remote := a.subRequest.query.remote
+			remote.leaving = append(remote.leaving, t.reg.ID)
+		}
+	}
+	if ev.Backoff > 0 {
+		e.startBackoff(now, t, ev.Backoff)
+	}
 	if ev.Load != nil {
 		t.load, t.loadAt = *ev.Load, now
 		t.load.Running = max(t.load.Running-1, 0) // the target still counted the request that it has answered
@@ -183,6 +193,8 @@
 	case ev.Kind == WrongProcess:
 		t.listed, t.connected = false, false // until the next CatalogChanged
 		e.closeIdleConns(t)
+	case ev.Kind == Shed && ev.Backoff > 0: // it has said itself for how long to avoid it
+		t.limit = max(t.limit*limitDecrease, 1)
 	case ev.Kind == Shed:
 		t.limit = max(t.limit*limitDecrease, 1)
 		e.targetFailed(now, t, ev.Kind.String())
--- a/core/serve/conns.go
+++ b/core/serve/conns.go
@@ -18,7 +18,7 @@
 	for id, t := range e.targets {
 		e.ensureSpareConn(now, t)
 		e.closeSurplusConn(now, t)
-		if !t.registered(now) || !e.wantsSpareConns(t) && t.idleTime(now) > inactiveIdleTimeout {
+		if !t.registered(now) || !e.wantsSpareConns(now, t) && t.idleTime(now) > inactiveIdleTimeout {
 			e.closeIdleConns(t)
 			if len(t.conns) == 0 && !t.retainUntil.IsZero() {
 				e.removeTarget(id, t)
@@ -27,7 +27,9 @@
 	}
 	for _, s := range e.services {
 		e.failQueued(now, s)
+		e.startQueued(now, s) // a backoff may have ended
 	}
+	e.leaving.prune(now)
 }
 
 // inactiveIdleTimeout is how long a VM that gets no callers keeps unused
@@ -74,7 +76,7 @@
 // spareConns. It opens one at a time, so that a target that returns is not
 // flooded.
 func (e *Engine) ensureSpareConn(now time.Time, t *target) {
-	if !t.registered(now) || now.Before(t.nextConnectAt) || !e.wantsSpareConns(t) {
+	if !t.registered(now) || now.Before(t.nextConnectAt) || !e.wantsSpareConns(now, t) {
 		return
 	}
 	idle := 0
@@ -98,7 +100,10 @@
 
 // wantsSpareConns reports whether idle connections to the target are kept. A VM
 // that gets no callers opens connections only when work is queued.
-func (e *Engine) wantsSpareConns(t *target) bool {
+func (e *Engine) wantsSpareConns(now time.Time, t *target) bool {
+	if t.isLeaving() && t.service.hasStayingTarget(now) {
+		return false
+	}
 	return e.view.IsActive() || len(t.service.queue) > 0
 }
 
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -19,8 +19,11 @@
 	// MaxKeyCopyAge is the age of the copy of the store above which requests
 	// with keys are refused, since a key may have been withdrawn meanwhile.
 	MaxKeyCopyAge time.Duration
-	Retry         retry.Settings // limit on retries and hedges of all VMs together
-	Quota         quota.Tolerance
+	// DrainWithin is the time after which a target that has said that it is about to
+	// end may get no more requests.
+	DrainWithin time.Duration
+	Retry       retry.Settings // limit on retries and hedges of all VMs together
+	Quota       quota.Tolerance
 }
 
 const reportInterval = 250 * time.Millisecond // interval of Report actions; well below the heartbeat interval
@@ -36,6 +39,7 @@
 
 	services          map[string]*service
 	targets           map[string]*target // by id
+	leaving           leavingProcesses
 	queries           map[RequestID]*query
 	attempts          map[AttemptID]*attempt
 	conns             map[ConnID]*conn
@@ -75,7 +79,7 @@
 func NewEngine(now time.Time, s Settings) *Engine {
 	return &Engine{
 		settings: s, reportAt: now, view: &mesh.View{},
-		services: make(map[string]*service), targets: make(map[string]*target),
+		services: make(map[string]*service), targets: make(map[string]*target), leaving: make(leavingProcesses),
 		queries: make(map[RequestID]*query), attempts: make(map[AttemptID]*attempt),
 		conns: make(map[ConnID]*conn), routes: make(map[string]*routeState),
 		workspaces: make(map[string]*workspaceState), crashes: newCrashes(),
--- a/core/serve/harness_test.go
+++ b/core/serve/harness_test.go
@@ -42,7 +42,7 @@
 )
 
 var testSettings = Settings{
-	Zone: "z0", MaxKeyCopyAge: 2750 * time.Millisecond,
+	Zone: "z0", MaxKeyCopyAge: 2750 * time.Millisecond, DrainWithin: 3 * time.Second,
 	Retry: retry.Settings{Ratio: 0.2, Slack: 56},
 	Quota: quota.Tolerance{Window: 5 * time.Second, OverRatio: 0.25, SlackRequests: 20},
 }
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -130,7 +130,8 @@
 	Answers []RelayedAnswer
 	Body    []byte // greatest records of Answers together
 	Failed  []RelayedFailure
-	More    bool // other shards are still running
+	Leaving []string // ids of targets that said, since the previous reply, that they are about to end
+	More    bool     // other shards are still running
 }
 
 // RelayedAnswer is a shard that answered.
@@ -166,6 +167,8 @@
 	Cause       string        // error of a failed attempt; empty if there is none
 	Reusable    bool          // the connection can carry another request
 	IdleTimeout time.Duration // idle timeout that the target states; zero if it states none
+	Leaving     bool          // the target says that its process is about to end
+	Backoff     time.Duration // how long the target wants no requests of this VM; zero if it does not say
 }
 
 // ConnOpened reports that a connection is open.
@@ -310,6 +313,8 @@
 	LogTargetRemoved  LogEventName = "target_removed"
 	LogTargetLapsed   LogEventName = "target_lapsed"
 	LogTargetDraining LogEventName = "target_draining"
+	LogTargetLeaving  LogEventName = "target_leaving"
+	LogTargetBackoff  LogEventName = "target_backoff"
 	LogTargetCrashed  LogEventName = "target_crashed"
 	LogConfigApplied  LogEventName = "config_in_force"
 )
--- a/core/serve/pick.go
+++ b/core/serve/pick.go
@@ -40,7 +40,7 @@
 // The search starts at another target for each query, so that targets of equal
 // cost take turns.
 func (e *Engine) bestTarget(now time.Time, sub *subRequest, allowTried bool) *target {
-	var best, ejected *target
+	var best, ejected, leaving *target
 	var bestCost time.Duration
 	median := e.route(sub.query.route.Name).latency.P50
 	n := len(sub.service.targets)
@@ -49,6 +49,10 @@
 		if !t.canAccept(now) || !allowTried && slices.Contains(sub.tried, t) {
 			continue
 		}
+		if t.isLeaving() {
+			leaving = t
+			continue
+		}
 		if t.ejected(now) {
 			if ejected == nil || t.ejectedUntil.Before(ejected.ejectedUntil) {
 				ejected = t
@@ -59,9 +63,12 @@
 			best, bestCost = t, c
 		}
 	}
-	if best == nil && !sub.service.hasHealthyTarget(now) {
+	if best == nil && !sub.service.hasHealthyTarget(now) && ejected != nil {
 		return ejected // all are ejected: use the one whose ejection ends first
 	}
+	if best == nil && !sub.service.hasStayingTarget(now) {
+		return leaving
+	}
 	return best
 }
 
@@ -92,5 +99,5 @@
 
 // hasHealthyTarget reports whether any target is usable and not ejected.
 func (s *service) hasHealthyTarget(now time.Time) bool {
-	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.usable(now) && !t.ejected(now) })
+	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.usable(now) && !t.ejected(now) && !t.isLeaving() })
 }
--- a/core/serve/publish.go
+++ b/core/serve/publish.go
@@ -70,6 +70,9 @@
 		e.targets[id] = t
 		t.service.targets = append(t.service.targets, t)
 		e.startWarmup(now, t, reg.WarmupLeft)
+		if since, leaving := e.leaving[processOf(reg)]; leaving {
+			t.lastResortUntil = e.lastResortEnd(since)
+		}
 		e.emit(LogEvent{Event: LogTargetAdded, Service: reg.Service, Target: id, Cause: reg.Zone, Duration: reg.WarmupLeft})
 	} else if reg != t.reg {
 		e.updateEntry(now, t, reg)
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -178,7 +178,13 @@
 		return &Answer{Response: q.subRequests[0].response} // the target answered with an error status
 	}
 	if !q.mayHaveRun() {
-		return refusal(outcome.CodeOverloaded, addJitter(minRetryAfter, q.request.Fingerprint), "%d of %d services did not take the request", q.failed, len(q.subRequests))
+		after := minRetryAfter
+		for _, sub := range q.subRequests {
+			if sub.done && !sub.succeeded() {
+				after = max(after, sub.service.backoffLeft(now))
+			}
+		}
+		return refusal(outcome.CodeOverloaded, addJitter(after, q.request.Fingerprint), "%d of %d services did not take the request", q.failed, len(q.subRequests))
 	}
 	code := outcome.CodeConnectionLost
 	if q.route.FanOut != nil {
--- a/core/serve/relay.go
+++ b/core/serve/relay.go
@@ -61,11 +61,12 @@
 	e.startRelay(now, q, vm, subRequests)
 }
 
-// zones returns the zones with targets that are usable and not ejected.
+// zones returns the zones with targets that are usable, not ejected and not about
+// to end.
 func (s *service) zones(now time.Time) []string {
 	zones := make([]string, 0, len(s.targets))
 	for _, t := range s.targets {
-		if t.usable(now) && !t.ejected(now) && !slices.Contains(zones, t.reg.Zone) {
+		if t.usable(now) && !t.ejected(now) && !t.isLeaving() && !slices.Contains(zones, t.reg.Zone) {
 			zones = append(zones, t.reg.Zone)
 		}
 	}
@@ -129,6 +130,11 @@
 	}
 	r.replied = true
 	q := r.query
+	for _, id := range ev.Reply.Leaving {
+		if t := e.targets[id]; t != nil {
+			e.targetLeaving(now, t)
+		}
+	}
 	b := &mergedRecords{body: ev.Reply.Body}
 	for _, done := range ev.Reply.Answers {
 		sub := r.subRequests[done.Shard]
--- a/core/serve/relayed.go
+++ b/core/serve/relayed.go
@@ -13,6 +13,7 @@
 	replyAt  time.Time // when the first reply is due
 	reported []bool    // shards that were reported, by index in RelayedWork.Shards
 	replied  bool      // the first reply was sent
+	leaving  []string  // targets that are about to end, for the next reply
 }
 
 // relayRequested starts work that another VM relayed. The other VM has admitted
@@ -84,6 +85,7 @@
 		return
 	}
 	remote.replied = true
+	reply.Leaving, remote.leaving = remote.leaving, nil
 	reply.Body = merge(remote.work.TopK, bodies(succeeded))
 	e.emit(SendRelayReply{ID: q.request.ID, Reply: reply})
 }
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -96,11 +96,12 @@
 }
 
 // expectedWait estimates how long a new sub-request of the given priority is
-// queued. It returns false if the service has no target.
+// queued. It returns false if the service has no target. It does not count the time
+// for which all targets want no requests; backoffLeft does.
 func (e *Engine) expectedWait(now time.Time, s *service, priority int) (time.Duration, bool) {
 	capacity := 0
 	for _, t := range s.targets {
-		if t.usable(now) {
+		if t.usable(now) && !t.backsOff(now) {
 			capacity += max(min(int(t.limit), len(t.conns)), 1)
 		}
 	}
@@ -148,12 +149,17 @@
 	return slices.ContainsFunc(t.conns, func(c *conn) bool { return !c.open && now.Sub(c.usedAt) > connectTimeout })
 }
 
-// failQueued fails the queued sub-requests of a service that has no target.
+// failQueued fails the queued sub-requests of a service that has no target, and
+// those whose deadline passes before a target takes requests again.
 func (e *Engine) failQueued(now time.Time, s *service) {
-	if len(s.queue) == 0 || e.canServe(now, s) {
+	if len(s.queue) == 0 {
 		return
 	}
+	canServe, openAt := e.canServe(now, s), now.Add(s.backoffLeft(now))
 	for _, sub := range slices.Clone(s.queue) {
+		if canServe && !openAt.After(sub.query.deadline) {
+			continue
+		}
 		e.failSubRequest(now, sub)
 		e.advance(now, sub.query)
 	}
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -51,7 +51,11 @@
 	listed      bool      // has an entry, its zone is in service, and no other process has answered at its address
 	retainUntil time.Time // end of the grace period of a target whose entry is missing; zero while the entry exists
 	coldUntil   time.Time
-	coldLimiter coldLimiter
+	// lastResortUntil is set once the target's process has said that it is about to
+	// end. Until then it serves requests for want of another target, and none later.
+	lastResortUntil time.Time
+	backoffUntil    time.Time // the target wants no requests of this VM until then
+	coldLimiter     coldLimiter
 
 	conns           []*conn
 	nextConnectAt   time.Time // no connection is opened before it
@@ -106,7 +110,10 @@
 // registered reports whether the target's entry allows attempts there, or its
 // loss is still within the grace period.
 func (t *target) registered(now time.Time) bool {
-	return !t.reg.Draining && (t.listed || now.Before(t.retainUntil))
+	if t.reg.Draining || t.isLeaving() && !now.Before(t.lastResortUntil) {
+		return false
+	}
+	return t.listed || now.Before(t.retainUntil)
 }
 
 // ejected reports whether the target is avoided after consecutive failures.
@@ -129,7 +136,7 @@
 
 // canAccept reports whether an attempt can start at the target now.
 func (t *target) canAccept(now time.Time) bool {
-	return t.usable(now) && len(t.running) < max(int(t.limit), 1) && t.coldLimiter.allows(now) && t.idleConn(now) != nil
+	return t.usable(now) && !t.backsOff(now) && len(t.running) < max(int(t.limit), 1) && t.coldLimiter.allows(now) && t.idleConn(now) != nil
 }
 
 // targetFailed records a failed attempt and ejects the target after several
--- a/daemon/httpconn.go
+++ b/daemon/httpconn.go
@@ -11,12 +11,12 @@
 	"time"
 
 	"github.com/anvilfork/anvilfork/core/route"
+	"github.com/anvilfork/anvilfork/internal/http1"
 )
 
 const (
-	maxAnswerBytes       = 4 << 20 // body
-	maxAnswerHeaderBytes = 64 << 10
-	statusCancelled      = 499 // the target ended a cancelled attempt; no constant in net/http
+	maxAnswerBytes  = 4 << 20 // body
+	statusCancelled = 499     // the target ended a cancelled attempt; no constant in net/http
 )
 
 // Headers of the target protocol.
@@ -83,14 +83,9 @@
 // read sends each answer to c.answers until the connection ends.
 func (c *httpConn) read() {
 	defer close(c.answers)
-	limit := &io.LimitedReader{R: c.conn}
-	buffered := bufio.NewReader(limit)
+	buffered := http1.NewReader(c.conn)
 	for {
-		limit.N = maxAnswerBytes + maxAnswerHeaderBytes
 		a := readAnswer(buffered)
-		if a.status > 0 && a.status < http.StatusOK {
-			continue // an interim response
-		}
 		select {
 		case c.answers <- a:
 		case <-c.closed:
@@ -104,16 +99,12 @@
 
 // readAnswer reads one response; its status is zero when there is none.
 func readAnswer(r *bufio.Reader) targetAnswer {
-	resp, err := http.ReadResponse(r, nil)
+	resp, err := http1.ReadResponse(r, http.MethodPost)
 	if err != nil {
 		return targetAnswer{}
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	return targetAnswer{
-		status: resp.StatusCode, header: resp.Header, body: body,
-		truncated: err != nil || len(body) > maxAnswerBytes, closesConn: resp.Close,
-	}
+	body, err := http1.ReadBody(resp, maxAnswerBytes, func(int64) error { return nil })
+	return targetAnswer{status: resp.StatusCode, header: resp.Header, body: body, truncated: err != nil, closesConn: resp.Close}
 }
 
 // run sends one attempt and waits for its answer until ctx ends. It reports whether
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -9,11 +8,11 @@
 	"time"
 
 	"github.com/anvilfork/anvilfork/core/serve"
+	"github.com/anvilfork/anvilfork/internal/http1"
 )
 
 const (
 	connectTimeout    = 800 * time.Millisecond // a target that is up accepts within milliseconds
-	readBufferBytes   = 4 << 10                // most answers fit
 	keepAliveIdle     = 2 * time.Second        // keep-alive probes detect unresponsive connections
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
@@ -34,10 +33,10 @@
 func (c *targetConn) close() { c.cancel() }
 
 // dialTarget starts the task that opens and owns one connection to a target.
-func dialTarget(id serve.ConnID, address string, codec TargetCodec, inbox chan<- engineMsg) *targetConn {
+func dialTarget(id serve.ConnID, address string, codec TargetCodec, inbox chan<- engineMsg, memory chan<- memoryMsg) *targetConn {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &targetConn{attempts: make(chan *serve.StartAttempt, 1), cancel: cancel}
-	t := &connTask{id: id, codec: codec, inbox: inbox, attempts: c.attempts, current: make(chan *serve.StartAttempt, 1), written: make(chan struct{}, 1)}
+	t := &connTask{id: id, codec: codec, inbox: inbox, memory: memory, attempts: c.attempts, current: make(chan *serve.StartAttempt, 1), written: make(chan struct{}, 1)}
 	go t.run(ctx, address)
 	return c
 }
@@ -48,6 +47,7 @@
 	id       serve.ConnID
 	codec    TargetCodec
 	inbox    chan<- engineMsg
+	memory   chan<- memoryMsg
 	attempts <-chan *serve.StartAttempt
 	current  chan *serve.StartAttempt // the attempt that is being written or not answered yet
 	written  chan struct{}            // signals that the current request is completely written
@@ -136,7 +136,7 @@
 	// Closing the connection unblocks the read below. The error is ignored, since
 	// the connection is not used any more.
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	br := bufio.NewReaderSize(conn, readBufferBytes)
+	br := http1.NewReader(conn)
 	for {
 		if _, err := br.Peek(1); err != nil {
 			t.reportEnd(ctx, err.Error())
@@ -149,7 +149,10 @@
 			t.report(ctx, serve.ConnClosed{Conn: t.id, Cause: "the target sent bytes that belong to no request"})
 			return
 		}
-		done := t.codec.Read(br, a)
+		// A read deadline in the past ends the answer that is being read.
+		hold := &memoryHold{task: t.memory, done: ctx.Done(), end: func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }}
+		done := t.codec.Read(&AnswerReader{Reader: br, Reserve: hold.reserve}, a)
+		hold.release()
 		done.Attempt, done.Conn = a.Attempt, t.id
 		done.Reusable = done.Reusable && br.Buffered() == 0 && t.requestWritten()
 		t.report(ctx, done)
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -40,6 +40,7 @@
 	inbox        chan engineMsg
 	dumpRequests chan chan<- serve.Dump
 	control      chan<- mesh.Event
+	memory       chan<- memoryMsg
 
 	relayClient *relayClient
 
@@ -57,6 +58,7 @@
 		clock: c, codec: codec, log: log, metrics: m,
 		engine: serve.NewEngine(c.now(), serve.Settings{
 			Zone: s.Zone, MaxKeyCopyAge: s.RevokeWithin * maxKeyAgePercent / 100, Retry: s.Retry, Quota: s.Quota,
+			DrainWithin: s.DrainWithin,
 		}),
 		inbox:        make(chan engineMsg, engineInboxSize),
 		dumpRequests: make(chan chan<- serve.Dump),
@@ -131,7 +133,7 @@
 			c.start(&a)
 		}
 	case serve.OpenConn:
-		t.conns[a.Conn] = dialTarget(a.Conn, a.Address, t.codec, t.inbox)
+		t.conns[a.Conn] = dialTarget(a.Conn, a.Address, t.codec, t.inbox, t.memory)
 	case serve.CloseConn:
 		if c := t.conns[a.Conn]; c != nil {
 			c.close()
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -25,6 +25,8 @@
 	codec    CallerCodec
 	log      zerolog.Logger
 	engine   chan<- engineMsg
+	memory   chan<- memoryMsg
+	done     <-chan struct{} // closed when the tasks end
 	limits   chan catalog.Limits
 	stopping chan struct{}      // closed when every answer must close its connection
 	drain    chan time.Duration // ends the task once the requests in flight are answered, or after the timeout it carries
@@ -158,24 +160,55 @@
 		w.Header().Set("Connection", "close")
 	default:
 	}
-	req, refusal := f.codec.Decode(r, l.MaxBodyBytes)
+	conn := http.NewResponseController(w)
+	req, refusal := f.decode(conn, r, l)
 	if refusal != nil {
-		f.refuse(w, r, req, refusal)
+		f.refuse(conn, w, r, req, refusal)
 		return
 	}
 	answer := make(chan *serve.Answer, 1)
 	f.engine <- engineMsg{submitted: &submission{request: req, answer: answer}}
 	select {
 	case a := <-answer:
-		f.codec.Encode(w, req, a)
+		f.encode(conn, w, req, a)
 	case <-r.Context().Done():
 		f.engine <- engineMsg{callerGone: req}
 	}
 }
 
+// decode reads a request. Its body may hold memory and time only within limits,
+// since callers may send slowly.
+func (f *front) decode(conn *http.ResponseController, r *http.Request, l catalog.Limits) (*serve.Request, *outcome.Refusal) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return f.codec.Decode(r, l.MaxBodyBytes)
+	}
+	// A connection that does not support deadlines is not limited in time.
+	_ = conn.SetWriteDeadline(time.Time{}) // of the previous answer on this connection
+	_ = conn.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
+	hold := &memoryHold{task: f.memory, done: f.done, end: func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }}
+	defer hold.release()
+	r.Body = &heldBody{ReadCloser: r.Body, hold: hold}
+	return f.codec.Decode(r, l.MaxBodyBytes)
+}
+
+// encode writes an answer, for which the caller has callerWriteTimeout to read it.
+func (f *front) encode(conn *http.ResponseController, w http.ResponseWriter, r *serve.Request, a *serve.Answer) {
+	_ = conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	f.codec.Encode(w, r, a)
+}
+
+const (
+	// bodyReadTimeout is how long a caller may take to send a body.
+	bodyReadTimeout = 30 * time.Second
+	// callerWriteTimeout is how long a caller may take to read an answer. Until then
+	// the answer holds memory.
+	callerWriteTimeout = 10 * time.Second
+)
+
 // refuse answers a request that could not be decoded.
-func (f *front) refuse(w http.ResponseWriter, r *http.Request, req *serve.Request, refusal *outcome.Refusal) {
+func (f *front) refuse(conn *http.ResponseController, w http.ResponseWriter, r *http.Request, req *serve.Request, refusal *outcome.Refusal) {
 	f.log.Info().Str("event", "request_refused").Str("caller", r.RemoteAddr).Str("code", string(refusal.Code)).
 		Str("outcome", string(refusal.Outcome)).Str("reason", refusal.Reason).Msg("request could not be read")
-	f.codec.Encode(w, req, &serve.Answer{Refusal: refusal})
+	f.encode(conn, w, req, &serve.Answer{Refusal: refusal})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,11 +54,12 @@
 		return nil, errors.Wrap(err, "listen on the address for callers")
 	}
 	inbox := make(chan mesh.Event, controlInboxSize)
+	memory := newMemoryTask(c, s.MemoryBytes)
 	engine := newEngineTask(c, &s, p.Targets, log, m)
-	engine.control = inbox
+	engine.control, engine.memory = inbox, memory.inbox
 	engine.relayClient = newRelayClient(p.Callers)
 	g.front = &front{
-		codec: p.Callers, log: log, engine: engine.inbox, listener: listener,
+		codec: p.Callers, log: log, engine: engine.inbox, memory: memory.inbox, done: g.done, listener: listener,
 		limits: make(chan catalog.Limits, 1), stopping: make(chan struct{}), drain: make(chan time.Duration),
 	}
 	g.control = &controlTask{
@@ -69,6 +70,7 @@
 	if err := g.startServers(&s, p, engine, m); err != nil {
 		return nil, err
 	}
+	go memory.run(g.done)
 	go engine.run(g.done)
 	go g.control.run(g.done)
 	go func() {
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/anvilfork/anvilfork/core/mesh"
+	"github.com/anvilfork/anvilfork/internal/http1"
 	"github.com/anvilfork/anvilfork/rpc/peer"
 )
 
@@ -28,6 +29,7 @@
 	dialer := &net.Dialer{Timeout: peerConnectTimeout}
 	return &peerClient{http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}}}
 }
 
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -39,7 +39,8 @@
 // CallerCodec translates between callers' HTTP and requests.
 type CallerCodec interface {
 	// Decode reads a request and its body of at most maxBody bytes. The refusal
-	// tells why the request can't be read, nil if it was read.
+	// tells why the request can't be read, nil if it was read. Reading the body may
+	// fail with a *MemoryError.
 	Decode(r *http.Request, maxBody int64) (*serve.Request, *outcome.Refusal)
 	// Encode writes the answer to a request.
 	Encode(w http.ResponseWriter, r *serve.Request, a *serve.Answer)
@@ -55,7 +56,16 @@
 	Write(w io.Writer, a *serve.StartAttempt) error
 	// Read reads an answer, of which the first byte is available, and returns how
 	// the attempt ended.
-	Read(br *bufio.Reader, a *serve.StartAttempt) serve.AttemptDone
+	Read(r *AnswerReader, a *serve.StartAttempt) serve.AttemptDone
+}
+
+// AnswerReader reads the answers on a connection to a target. Its buffer is that of
+// http1.NewReader.
+type AnswerReader struct {
+	*bufio.Reader
+	// Reserve raises the memory of the answer that is being read to total bytes. The
+	// error is a *MemoryError.
+	Reserve func(total int64) error
 }
 
 // Place is the location of a caller.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/anvilfork/anvilfork/core/serve"
+	"github.com/anvilfork/anvilfork/internal/http1"
 	"github.com/anvilfork/anvilfork/rpc/peer"
 )
 
@@ -35,6 +36,7 @@
 	dialer := &net.Dialer{Timeout: peerConnectTimeout}
 	return &relayClient{codec: codec, http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleRelayConnsPerVM, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}}}
 }
 
--- a/gateway/relaywire.go
+++ b/gateway/relaywire.go
@@ -36,7 +36,7 @@
 
 // encodeRelayReply encodes a reply. The id is that of the run on this VM.
 func encodeRelayReply(id serve.RequestID, r *serve.RelayReply) *peer.RelayReply {
-	m := &peer.RelayReply{Id: uint64(id), Body: r.Body, Rest: r.More}
+	m := &peer.RelayReply{Id: uint64(id), Body: r.Body, Rest: r.More, Leaving: r.Leaving}
 	for _, p := range r.Answers {
 		m.Parts = append(m.Parts, &peer.RelayedPart{Shard: uint32(p.Shard), Seal: p.Signature, Attempts: uint32(p.Attempts)})
 	}
@@ -49,7 +49,7 @@
 // decodeRelayReply decodes a reply to work on the given number of shards. It fails
 // if the reply names a shard outside that work.
 func decodeRelayReply(m *peer.RelayReply, shards int) (*serve.RelayReply, error) {
-	r := &serve.RelayReply{Body: m.GetBody(), More: m.GetRest()}
+	r := &serve.RelayReply{Body: m.GetBody(), More: m.GetRest(), Leaving: m.GetLeaving()}
 	for _, p := range m.GetParts() {
 		if int(p.GetShard()) >= shards {
 			return nil, errors.Newf("the reply names shard %d of %d", p.GetShard(), shards)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -27,6 +27,7 @@
 
 	MemoryBytes  int64           // limit on the memory of the process
 	RevokeWithin time.Duration   // a withdrawn key must stop working within this time
+	DrainWithin  time.Duration   // a target that leaves gets no more requests within this time
 	StopGrace    time.Duration   // between the signal to stop and the forced end of the process
 	DirectoryTTL time.Duration   // for how long callers may keep the directory's answers
 	Retry        retry.Settings  // limits on extra attempts
@@ -65,7 +66,7 @@
 	durations := []struct {
 		field string
 		value time.Duration
-	}{{"RevokeWithin", s.RevokeWithin}, {"StopGrace", s.StopGrace}, {"DirectoryTTL", s.DirectoryTTL}}
+	}{{"RevokeWithin", s.RevokeWithin}, {"DrainWithin", s.DrainWithin}, {"StopGrace", s.StopGrace}, {"DirectoryTTL", s.DirectoryTTL}}
 	for _, d := range durations {
 		if d.value <= 0 {
 			return &SettingError{Field: d.field, Value: d.value.String(), Reason: "must be above zero"}
