Answer fan-outs within the caller's objective on busy and fresh VMs

Change: VMs tell each other the longest timeout of each route: 9 bytes a heartbeat while they agree, the list when they do not. The time of a request runs from its first byte; the time to the admission and from the answer to the connection is measured, and twice that is set aside.

Ruled out: the cut itself (190.5 ms after the admission) and the encoding (0.3 ms).

--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -128,7 +128,10 @@
 
 // heartbeatRequest returns the heartbeat to send to an address.
 func (m *Machine) heartbeatRequest(addr string) *HeartbeatRequest {
-	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), Demand: m.localDemand, Crashes: m.localCrashes}
+	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), Demand: m.localDemand, Crashes: m.localCrashes, TimeoutsSum: m.timeouts.sum}
+	if c := m.heartbeats[addr]; c != nil && c.answered && c.hubSum != m.timeouts.sum {
+		r.Timeouts = m.timeouts.list()
+	}
 	for _, peer := range m.members {
 		if peer.node.Peer == addr {
 			r.NodesSeq, r.NodesEpoch = peer.reachableSeq, peer.node.StartedUnixMs
@@ -151,6 +154,7 @@
 		}
 		peer.lastHeartbeat, peer.interval = now, interval
 		peer.crashes = ev.Request.Crashes
+		m.mergeTimeouts(ev.Request.Timeouts)
 		m.peerDemands[peer.node.ID] = peerDemand{demand: ev.Request.Demand, receivedAt: now, ttl: shareTTL(interval)}
 	}
 	m.emit(AnswerHeartbeat{Ticket: ev.Ticket, Reply: m.heartbeatReply(now, ev.Request)})
@@ -159,7 +163,10 @@
 // heartbeatReply returns the reply to a heartbeat, with the changes that its
 // sender lacks.
 func (m *Machine) heartbeatReply(now time.Time, r *HeartbeatRequest) *HeartbeatReply {
-	reply := &HeartbeatReply{From: m.self, Update: m.storeCopy.Since(r.StoreRevision), FleetDemand: m.demandFor(now, r), Blocked: m.blockedFingerprints(), CopyAge: -1}
+	reply := &HeartbeatReply{From: m.self, Update: m.storeCopy.Since(r.StoreRevision), FleetDemand: m.demandFor(now, r), Blocked: m.blockedFingerprints(), CopyAge: -1, TimeoutsSum: m.timeouts.sum}
+	if r.TimeoutsSum != m.timeouts.sum {
+		reply.Timeouts = m.timeouts.list()
+	}
 	if !m.storeCopy.ConfirmedAt().IsZero() {
 		reply.CopyAge = now.Sub(m.storeCopy.ConfirmedAt())
 	}
@@ -212,7 +219,7 @@
 	if c := m.heartbeats[ev.Peer]; c != nil {
 		demand.own, demand.ttl = m.limitSurge(c.sentDemand, c.prevDemand), shareTTL(c.interval)
 		m.answeredInterval = c.interval
-		c.inFlight = false
+		c.inFlight, c.answered, c.hubSum = false, true, ev.Reply.TimeoutsSum
 		c.nextAt = ev.Sent.Add(m.heartbeatDelay(c, ev.Reply.Update != nil))
 	}
 	reply := ev.Reply
@@ -227,6 +234,7 @@
 			m.updateMember(now, n)
 		}
 	}
+	m.mergeTimeouts(reply.Timeouts)
 	hub.blocked, hub.reportedAt = reply.Blocked, now
 	demand.totals = reply.FleetDemand
 	m.hubDemands[hub.node.ID] = demand
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -96,10 +96,12 @@
 // heartbeatState is the state of the heartbeats to one address.
 type heartbeatState struct {
 	inFlight    bool
+	answered    bool // at least one heartbeat was answered
 	nextAt      time.Time
 	interval    time.Duration     // announced in the last heartbeat
 	sentDemand  []WorkspaceDemand // demand in the last heartbeat
 	prevDemand  []WorkspaceDemand // demand in the heartbeat before it
+	hubSum      uint64            // checksum of the timeouts in the last reply
 	withoutCopy int               // consecutive heartbeats that brought no copy, while this VM has none
 }
 
@@ -137,6 +139,7 @@
 	isActive          bool          // this VM is active in the last view
 	wasBusy           bool          // result of isBusy in the last step
 	answeredInterval  time.Duration // announced in the last heartbeat that was answered
+	timeouts          routeTimeouts
 	viewDirty         bool
 	actions           []Action
 }
@@ -177,6 +180,7 @@
 		m.handleForwardFailed(now, ev)
 	case LocalDemand:
 		m.prevLocalDemand, m.localDemand, m.localCrashes = m.localDemand, ev.Demand, ev.Crashes
+		m.mergeTimeouts(ev.Timeouts)
 	case Stopping:
 		m.self.Phase = Leaving
 		m.markSelfChanged(now)
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -718,3 +718,50 @@
 		}
 	}
 }
+
+// Guards against a VM that does not learn the longest timeout that another VM's
+// callers have stated, also after all hubs were replaced, and against lists that are
+// sent again and again.
+func TestLongestTimeoutsReachAllVMs(t *testing.T) {
+	s := newSimulation(t, 20)
+	s.write("op/config", 1)
+	s.run(3 * time.Second)
+	report := func(id fleet.VMID, route string, longest time.Duration) {
+		s.step(id, LocalDemand{Timeouts: []RouteTimeout{{Route: route, Longest: longest}}})
+	}
+	report("vm007", "a", 1200*time.Millisecond)
+	report("vm012", "a", 1180*time.Millisecond)
+	report("vm012", "b", 500*time.Millisecond)
+	s.run(5 * time.Second)
+	known := map[string]time.Duration{"a": 1200 * time.Millisecond, "b": 500 * time.Millisecond}
+	for _, id := range s.order {
+		assert.DeepEqual(t, s.vms[id].view.Timeouts, known)
+	}
+	for _, id := range s.order[:3] {
+		s.vms[id].running = false
+	}
+	s.run(2 * time.Second)
+	for _, id := range s.order[:3] {
+		s.start(id)
+	}
+	s.run(5 * time.Second)
+	for _, id := range s.order {
+		assert.DeepEqual(t, s.vms[id].view.Timeouts, known)
+		for addr, c := range s.vms[id].machine.heartbeats {
+			if slices.Contains(s.vms[id].machine.heartbeatAddrs, addr) {
+				assert.Equal(t, c.hubSum, s.vms[id].machine.timeouts.sum)
+			}
+		}
+	}
+}
+
+// Guards against timeouts that fill the memory of a VM.
+func TestRouteTimeoutsAreBounded(t *testing.T) {
+	var timeouts routeTimeouts
+	for i := range 2 * maxRouteTimeouts {
+		timeouts.merge([]RouteTimeout{{Route: fmt.Sprint(i), Longest: time.Second}})
+	}
+	assert.Equal(t, len(timeouts.longest), maxRouteTimeouts)
+	assert.Assert(t, timeouts.merge([]RouteTimeout{{Route: "0", Longest: 2 * time.Second}}))
+	assert.Assert(t, !timeouts.merge([]RouteTimeout{{Route: "0", Longest: time.Second}}))
+}
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -66,6 +66,8 @@
 	NodesEpoch    int64         // start of the hub's process that NodesSeq belongs to, in Unix milliseconds
 	Demand        []WorkspaceDemand
 	Crashes       []Crash
+	TimeoutsSum   uint64         // checksum of the timeouts that the sender knows; zero for none
+	Timeouts      []RouteTimeout // all that the sender knows, if the receiver is known to know others
 }
 
 // HeartbeatReply is the reply to a heartbeat, with the changes that the sender of
@@ -81,6 +83,8 @@
 	Hubs        []Node            // hubs to contact instead, when the replying VM is not a hub
 	FleetDemand []WorkspaceDemand // fleet's demand for the workspaces in the request's Demand
 	Blocked     []uint64          // fingerprints of requests that crash targets
+	TimeoutsSum uint64            // checksum of the timeouts that the hub knows
+	Timeouts    []RouteTimeout    // all that the hub knows, if the sender of the heartbeat knows others
 }
 
 // Event is an input of a Machine.
@@ -125,8 +129,9 @@
 // LocalDemand reports the demand of this VM's callers and the crashes that this VM
 // observed. It replaces the previous report.
 type LocalDemand struct {
-	Demand  []WorkspaceDemand
-	Crashes []Crash
+	Demand   []WorkspaceDemand
+	Crashes  []Crash
+	Timeouts []RouteTimeout // of this VM's callers
 }
 
 // Stopping reports that this VM is shutting down.
@@ -221,6 +226,7 @@
 	Blocked   map[uint64]bool   // fingerprints of requests that crash targets
 	Reader    bool              // this VM reads the store for the others
 	Hubs      []fleet.VMID
+	Timeouts  map[string]time.Duration // longest time that callers wait, by route
 }
 
 // IsActive reports whether callers are sent to this VM.
--- a/core/mesh/view.go
+++ b/core/mesh/view.go
@@ -33,7 +33,7 @@
 func (m *Machine) buildView(now time.Time) *View {
 	v := &View{
 		Self: m.self, Nodes: m.reachableNodes(now), Confirmed: m.storeCopy.ConfirmedAt(),
-		Blocked: make(map[uint64]bool), Reader: m.isReader(),
+		Blocked: make(map[uint64]bool), Reader: m.isReader(), Timeouts: m.timeouts.longest,
 	}
 	v.Active = selectActive(v.Nodes, m.maxActive)
 	v.Sharers = len(v.Active)
--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -30,7 +30,8 @@
 	deadlineMargin = 10 * time.Millisecond
 
 	// objectiveMargin is how long before the objective a fan-out is answered
-	// without its late shards. It covers the round trip to the caller.
+	// without its late shards. It covers the round trip to the caller; deliveryLag
+	// covers what this VM adds.
 	objectiveMargin = 10 * time.Millisecond
 )
 
@@ -45,6 +46,10 @@
 // submit admits a request and starts its sub-requests, or refuses it at once.
 func (e *Engine) submit(now time.Time, r *Request) {
 	q := &query{engine: e, request: r, arrived: now, copyAge: e.copyAge(now)}
+	if !r.Received.IsZero() && r.Received.Before(now) {
+		q.arrived = r.Received
+	}
+	q.admissionLag = now.Sub(q.arrived)
 	q.timer.Owner.query = q
 	if a := e.admit(now, q); a != nil {
 		e.respond(now, q, a)
@@ -134,10 +139,43 @@
 	if timeout <= 0 || timeout > q.route.Timeout {
 		timeout = q.route.Timeout
 	}
-	state.maxTimeout = max(state.maxTimeout, timeout)
-	waited := state.maxTimeout - timeout
-	q.deadline = now.Add(timeout - deadlineMargin)
-	q.objective = now.Add(q.route.Objective - waited - objectiveMargin)
+	state.maxTimeout = max(state.maxTimeout, timeout.Truncate(time.Millisecond))
+	waited := max(min(max(state.maxTimeout, e.view.Timeouts[q.route.Name]), q.route.Timeout)-timeout, 0)
+	q.deadline = q.arrived.Add(timeout - deadlineMargin)
+	q.objective = q.arrived.Add(q.route.Objective - waited - objectiveMargin - e.deliveryLag.allowance(q.route.Objective))
+}
+
+// deliveryLag estimates how long answers take outside of the engine: from the first
+// byte of the request to its admission, and from the answer to the caller's
+// connection. Both grow when the processor is busy.
+type deliveryLag struct{ estimate time.Duration }
+
+const (
+	// The estimate rises faster than it falls, so that about nine in ten answers
+	// take less.
+	lagRiseDivisor = 4
+	lagFallDivisor = 32
+	// lagFactor covers what is not seen: the time until a request is read from its
+	// connection and until the last bytes of an answer leave take about as long as
+	// what is.
+	lagFactor = 2
+	// maxLagPercent is the largest part of the objective, in percent, that is set
+	// aside for the lag.
+	maxLagPercent = 30
+)
+
+func (l *deliveryLag) record(lag time.Duration) {
+	if d := lag - l.estimate; d > 0 {
+		l.estimate += d / lagRiseDivisor
+	} else {
+		l.estimate += d / lagFallDivisor
+	}
+}
+
+// allowance returns how much earlier the answer to a request with an objective is
+// to be sent.
+func (l *deliveryLag) allowance(objective time.Duration) time.Duration {
+	return min(lagFactor*l.estimate, objective*maxLagPercent/100)
 }
 
 // chargeQuota takes one request from the quota of its workspace, and returns
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -47,6 +48,7 @@
 	routes            map[string]*routeState     // by name
 	workspaces        map[string]*workspaceState // by name
 	crashes           crashes
+	deliveryLag       deliveryLag
 	relays            map[RelayID]*relay
 	relayBlockedUntil map[fleet.VMID]time.Time // until when nothing is relayed to a VM
 
@@ -70,7 +72,7 @@
 // routeState holds the measurements of a route.
 type routeState struct {
 	latency     latency.Estimate   // of single attempts
-	maxTimeout  time.Duration      // longest timeout that a caller of the route has sent
+	maxTimeout  time.Duration      // longest timeout that a caller of the route has sent to this VM, in whole milliseconds
 	splitCredit map[string]float64 // by service: weight not yet used by a split route
 }
 
@@ -114,6 +116,8 @@
 		e.catalogChanged(now, ev)
 	case FleetChanged:
 		e.fleetChanged(now, ev.View)
+	case Delivered:
+		e.deliveryLag.record(ev.Lag)
 	case Tick:
 	}
 	e.fireTimers(now)
@@ -167,6 +171,12 @@
 			r.Demand = append(r.Demand, mesh.WorkspaceDemand{Workspace: name, RatePerSecond: rate})
 		}
 	}
+	for name, state := range e.routes {
+		if state.maxTimeout > e.view.Timeouts[name] {
+			r.Timeouts = append(r.Timeouts, mesh.RouteTimeout{Route: name, Longest: state.maxTimeout})
+		}
+	}
+	slices.SortFunc(r.Timeouts, func(a, b mesh.RouteTimeout) int { return cmp.Compare(a.Route, b.Route) })
 	slices.SortFunc(r.Demand, func(a, b mesh.WorkspaceDemand) int {
 		if a.Workspace < b.Workspace {
 			return -1
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -36,6 +36,7 @@
 	Key             string
 	Timeout         time.Duration // how long the caller waits; zero if it sends no timeout
 	Fingerprint     uint64        // hash of the content, equal for requests with equal content
+	Received        time.Time     // when the VM began to read it; zero if unknown
 	Payload         any           // encoded form for targets; the engine does not read it
 }
 
@@ -72,6 +73,8 @@
 	ConfigVersion     uint64
 	CopyAge           time.Duration // age of the copy of the store at the admission
 	Priority          int
+	AdmissionLag      time.Duration // from Request.Received to the admission
+	AnsweredAt        time.Time     // when the engine returned the answer
 	Duration          time.Duration
 	Attempts          int
 	Hedges            int
@@ -213,6 +216,12 @@
 // FleetChanged hands over a new view of the fleet.
 type FleetChanged struct{ View *mesh.View }
 
+// Delivered reports that the answer of a fan-out was handed to the connection of its
+// caller.
+type Delivered struct {
+	Lag time.Duration // Trace.AdmissionLag, and the time since the engine returned the answer
+}
+
 // Tick reports that the time given by Next has come.
 type Tick struct{}
 
@@ -221,6 +230,7 @@
 func (RelayRequested) event() {}
 func (RelayCancelled) event() {}
 func (Submit) event()         {}
+func (Delivered) event()      {}
 func (Cancel) event()         {}
 func (AttemptDone) event()    {}
 func (ConnOpened) event()     {}
@@ -276,11 +286,12 @@
 	Answer *Answer
 }
 
-// Report hands over the demand of this VM's callers and the request contents
-// that crashed targets, for the other VMs.
+// Report hands over the demand and the timeouts of this VM's callers and the request
+// contents that crashed targets, for the other VMs.
 type Report struct {
-	Demand  []mesh.WorkspaceDemand
-	Crashes []mesh.Crash
+	Demand   []mesh.WorkspaceDemand
+	Crashes  []mesh.Crash
+	Timeouts []mesh.RouteTimeout // longer ones than the fleet is known to have
 }
 
 // LogEvent is a decision to be logged: one between the admission and the answer
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -25,11 +25,12 @@
 	subRequests   []*subRequest
 	minAnswered   int // sub-requests that must succeed for an answer
 
-	arrived   time.Time
-	copyAge   time.Duration // age of the copy of the store at the admission
-	objective time.Time     // time from which an answer is sent without the late sub-requests
-	deadline  time.Time
-	timer     timer.Timer[timerOwner]
+	arrived      time.Time
+	admissionLag time.Duration // from arrived to the admission
+	copyAge      time.Duration // age of the copy of the store at the admission
+	objective    time.Time     // time from which an answer is sent without the late sub-requests
+	deadline     time.Time
+	timer        timer.Timer[timerOwner]
 
 	answered  int
 	failed    int
@@ -257,6 +258,7 @@
 	if q.config != nil {
 		t.ConfigVersion = q.config.Version
 	}
+	t.AdmissionLag, t.AnsweredAt = q.admissionLag, now
 	t.CopyAge, t.Priority, t.Duration = q.copyAge, q.priority, now.Sub(q.arrived)
 	t.Attempts, t.Hedges, t.Retries, t.CrossZoneAttempts, t.Shards = q.attempts, q.hedges, q.retries, q.crossZone, len(q.subRequests)
 	t.Relayed, t.RelayedTo = q.relayed, q.relayedTo
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -22,6 +22,7 @@
 // that front starts a new server when the limits change. Connections stay with the
 // server that accepted them.
 type front struct {
+	clock    clock
 	codec    CallerCodec
 	log      zerolog.Logger
 	engine   chan<- engineMsg
@@ -160,22 +161,37 @@
 		w.Header().Set("Connection", "close")
 	default:
 	}
+	received := f.clock.now()
 	conn := http.NewResponseController(w)
 	req, refusal := f.decode(conn, r, l)
 	if refusal != nil {
 		f.refuse(conn, w, r, req, refusal)
 		return
 	}
+	req.Received = received
 	answer := make(chan *serve.Answer, 1)
 	f.engine <- engineMsg{submitted: &submission{request: req, answer: answer}}
 	select {
 	case a := <-answer:
 		f.encode(conn, w, req, a)
+		f.reportDelivery(a)
 	case <-r.Context().Done():
 		f.engine <- engineMsg{callerGone: req}
 	}
 }
 
+// reportDelivery tells the engine task how long the answer of a fan-out took outside
+// of it. The report is dropped if that task is behind.
+func (f *front) reportDelivery(a *serve.Answer) {
+	if a.Merged == nil {
+		return
+	}
+	select {
+	case f.engine <- engineMsg{event: serve.Delivered{Lag: a.Trace.AdmissionLag + f.clock.now().Sub(a.Trace.AnsweredAt)}}:
+	default:
+	}
+}
+
 // decode reads a request. Its body may hold memory and time only within limits,
 // since callers may send slowly.
 func (f *front) decode(conn *http.ResponseController, r *http.Request, l catalog.Limits) (*serve.Request, *outcome.Refusal) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,7 +59,7 @@
 	engine.control, engine.memory = inbox, memory.inbox
 	engine.relayClient = newRelayClient(p.Callers)
 	g.front = &front{
-		codec: p.Callers, log: log, engine: engine.inbox, memory: memory.inbox, done: g.done, listener: listener,
+		clock: c, codec: p.Callers, log: log, engine: engine.inbox, memory: memory.inbox, done: g.done, listener: listener,
 		limits: make(chan catalog.Limits, 1), stopping: make(chan struct{}), drain: make(chan time.Duration),
 	}
 	g.control = &controlTask{
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -65,10 +65,27 @@
 	return out
 }
 
+func encodeTimeouts(all []mesh.RouteTimeout) []*peer.MeshTimeout {
+	var out []*peer.MeshTimeout
+	for _, t := range all {
+		out = append(out, &peer.MeshTimeout{Route: t.Route, LongestMs: uint32(t.Longest.Milliseconds())})
+	}
+	return out
+}
+
+func decodeTimeouts(all []*peer.MeshTimeout) []mesh.RouteTimeout {
+	var out []mesh.RouteTimeout
+	for _, t := range all {
+		out = append(out, mesh.RouteTimeout{Route: t.GetRoute(), Longest: time.Duration(t.GetLongestMs()) * time.Millisecond})
+	}
+	return out
+}
+
 func encodeRequest(r *mesh.HeartbeatRequest) *peer.MeshRequest {
 	m := &peer.MeshRequest{
 		From: encodeNode(r.From), EveryMs: uint32(r.Interval.Milliseconds()), AsOf: r.StoreRevision,
 		NodesSeq: r.NodesSeq, NodesOf: r.NodesEpoch, ReadsPacked: true, Offered: encodeOffered(r.Demand),
+		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
 	}
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, &peer.MeshCrash{Fingerprint: c.Fingerprint, Count: c.Count})
@@ -79,6 +96,7 @@
 func decodeRequest(m *peer.MeshRequest) *mesh.HeartbeatRequest {
 	r := &mesh.HeartbeatRequest{
 		From: decodeNode(m.GetFrom()), Interval: time.Duration(m.GetEveryMs()) * time.Millisecond, StoreRevision: m.GetAsOf(), NodesSeq: m.GetNodesSeq(), NodesEpoch: m.GetNodesOf(), Demand: decodeOffered(m.GetOffered()),
+		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
 	}
 	for _, c := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, mesh.Crash{Fingerprint: c.GetFingerprint(), Count: c.GetCount()})
@@ -102,6 +120,7 @@
 	m := &peer.MeshReply{
 		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull,
 		Nodes: encodeNodes(r.Nodes), Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand), Blocked: r.Blocked,
+		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
 	}
 	if r.CopyAge < 0 {
 		m.AgeUs = -1
@@ -146,6 +165,7 @@
 	r := &mesh.HeartbeatReply{
 		From: decodeNode(m.GetFrom()), CopyAge: time.Duration(m.GetAgeUs()) * time.Microsecond, NodesSeq: m.GetNodesSeq(),
 		NodesFull: m.GetNodesWhole(), FleetDemand: decodeOffered(m.GetTotals()), Blocked: m.GetBlocked(),
+		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
 	}
 	r.Nodes, r.Hubs = decodeNodes(m.GetNodes()), decodeNodes(m.GetHubs())
 	for _, id := range m.GetGone() {
