Keep fan-outs in their zone and idle connections few

And each VM keeps a connection to every target of every service: targets close those that stay idle after 10 s (3,388 opened for 870 pairs of VM and target in 30 s), they are opened again, and count as failed since they never carried an answer.

Change: a fan-out crosses zones for a target that is faster by 15% of the objective or twice as fast. Each zone with three far shards or more gets a relay, not only the first. Idle connections are kept to two targets of a shard, none of services that no route names. An idle connection that ends late is no failure.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -83,6 +83,7 @@
 	Limits   Limits
 
 	routes     []*Route
+	routed     map[string]bool // services that a route names; true if as a shard
 	byHost     map[string][]*Route
 	workspaces []*Workspace
 	byKey      map[string]*Workspace
@@ -94,6 +95,7 @@
 	c := &Config{
 		Version: version, Limits: limits, routes: routes, workspaces: workspaces, byKey: keys,
 		Services: make(map[string]Service, len(services)),
+		routed:   make(map[string]bool),
 		byHost:   make(map[string][]*Route),
 	}
 	for _, s := range services {
@@ -102,10 +104,33 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
+		c.addRouted(r)
 	}
 	return c
 }
 
+// addRouted records the services that a route names.
+func (c *Config) addRouted(r *Route) {
+	c.routed[r.Service] = c.routed[r.Service]
+	for _, w := range r.Split {
+		c.routed[w.Service] = c.routed[w.Service]
+	}
+	if r.FanOut != nil {
+		for _, name := range r.FanOut.Shards {
+			c.routed[name] = true
+		}
+	}
+}
+
+// IsRouted reports whether a route sends requests to a service.
+func (c *Config) IsRouted(service string) bool {
+	_, routed := c.routed[service]
+	return routed
+}
+
+// IsShard reports whether a service is a shard of a fan-out.
+func (c *Config) IsShard(service string) bool { return c.routed[service] }
+
 // Match returns the route of a host with the longest prefix of path, nil when
 // there is none.
 func (c *Config) Match(host, path string) *Route {
--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -61,7 +61,7 @@
 	e.relayFarShards(now, q)
 	for _, sub := range q.subRequests {
 		sub.service.budget.Earn()
-		if !sub.done && !sub.relayed { // starting an earlier sub-request may have ended the query
+		if !sub.done && sub.relay == nil { // starting an earlier sub-request may have ended the query
 			e.startOrQueue(now, sub)
 		}
 	}
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -64,7 +64,7 @@
 		target: t, conn: t.idleConn(now), started: now}
 	a.abandonTimer.Owner.attempt = a
 	a.conn.attempt, a.conn.usedAt = a, now
-	t.running = append(t.running, a)
+	t.running, t.startedAt = append(t.running, a), now
 	t.coldLimiter.take(now)
 	e.attempts[a.id] = a
 	sub.running = append(sub.running, a)
@@ -320,7 +320,7 @@
 		}
 		sub.hedged = true
 		q.hedges++
-		first, since := q.firstAttempt(sub)
+		first, since := sub.firstAttempt()
 		e.emit(LogEvent{Event: LogHedge, Request: q.request, Service: sub.service.name, Target: t.reg.ID, Cause: first, Duration: now.Sub(since)})
 		e.startAttempt(now, sub, t, true)
 	}
@@ -328,9 +328,9 @@
 
 // firstAttempt returns the target or VM that runs the only attempt of a
 // sub-request, and when the attempt began.
-func (q *query) firstAttempt(sub *subRequest) (where string, since time.Time) {
-	if sub.relayed {
-		return string(q.relay.vm), q.relay.started
+func (sub *subRequest) firstAttempt() (where string, since time.Time) {
+	if r := sub.relay; r != nil {
+		return string(r.vm), r.started
 	}
 	return sub.running[0].target.reg.ID, sub.running[0].started
 }
--- a/core/serve/conns.go
+++ b/core/serve/conns.go
@@ -104,7 +104,27 @@
 	if t.isLeaving() && t.service.hasStayingTarget(now) {
 		return false
 	}
-	return e.view.IsActive() || len(t.service.queue) > 0
+	if len(t.service.queue) > 0 {
+		return true
+	}
+	return e.view.IsActive() && t.service.routed && (!t.service.isShard || now.Sub(t.startedAt) < spareRetention || e.isSpareTarget(now, t))
+}
+
+// isSpareTarget reports whether a target is one of the spareTargets of its service:
+// the sound ones in this zone come first.
+func (e *Engine) isSpareTarget(now time.Time, t *target) bool {
+	ahead, passed := 0, false
+	for _, o := range t.service.targets {
+		if o == t {
+			passed = true
+			continue
+		}
+		near, otherNear := t.reg.Zone == e.settings.Zone, o.reg.Zone == e.settings.Zone
+		if o.isSound(now) && (otherNear && !near || otherNear == near && !passed) {
+			ahead++
+		}
+	}
+	return ahead < spareTargets
 }
 
 func (e *Engine) connOpened(now time.Time, ev ConnOpened) {
@@ -135,7 +155,7 @@
 		e.attemptDone(now, AttemptDone{Attempt: a.id, Conn: c.id, Kind: ConnLost, Cause: ev.Cause})
 		return
 	}
-	neverAnswered := !c.open || !c.verified
+	neverAnswered := !c.open || !c.verified && now.Sub(c.usedAt) < resetWindow
 	e.dropConn(c)
 	if neverAnswered {
 		t.nextConnectAt = now.Add(min(connectBackoff<<min(t.connectFailures, 6), maxConnectBackoff))
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -81,8 +81,8 @@
 	Retries           int
 	CrossZoneAttempts int // attempts at targets of other zones
 	Shards            int
-	Relayed           int        // shards that were relayed to another VM
-	RelayedTo         fleet.VMID // VM that the shards were relayed to
+	Relayed           int          // shards that were relayed to other VMs
+	RelayedTo         []fleet.VMID // VMs that the shards were relayed to
 	MissingShards     []string
 	EndedEarly        bool // answered without the late shards, as the objective was near
 }
--- a/core/serve/pick.go
+++ b/core/serve/pick.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/anvilfork/anvilfork/core/catalog"
 )
 
 const (
@@ -13,6 +15,11 @@
 	// of the median latency. It is above inFlightCostFactor, so that work
 	// leaves the zone only when all slots there are taken.
 	crossZoneFactor = 0.3
+	// A fan-out waits for the slowest of many shards, so that a target of this zone
+	// may be twice as slow as the median, or take crossZoneObjectivePercent of the
+	// objective longer, before the traffic to another zone is worth it.
+	crossZoneFanOutFactor     = 1.0
+	crossZoneObjectivePercent = 15
 	// stallPenalty keeps attempts off a target whose attempts are overdue.
 	// Pauses of targets last about that long.
 	stallPenalty = 150 * time.Millisecond
@@ -43,6 +50,7 @@
 	var best, ejected, leaving *target
 	var bestCost time.Duration
 	median := e.route(sub.query.route.Name).latency.P50
+	crossZone := crossZoneCost(sub.query.route, median)
 	n := len(sub.service.targets)
 	for i := range n {
 		t := sub.service.targets[(i+int(sub.query.seq))%n]
@@ -59,7 +67,7 @@
 			}
 			continue
 		}
-		if c := e.cost(now, t, median); best == nil || c < bestCost {
+		if c := e.cost(now, t, median, crossZone); best == nil || c < bestCost {
 			best, bestCost = t, c
 		}
 	}
@@ -73,8 +81,9 @@
 }
 
 // cost estimates the latency of an attempt at a target, plus penalties for
-// failures, stalls and other zones.
-func (e *Engine) cost(now time.Time, t *target, median time.Duration) time.Duration {
+// failures, stalls and other zones. median is that of the route, and crossZone is
+// added for a target of another zone.
+func (e *Engine) cost(now time.Time, t *target, median, crossZone time.Duration) time.Duration {
 	unit := float64(median) * t.expectedSlowness(now)
 	if now.Before(t.coldUntil) {
 		unit *= coldSlowdown
@@ -92,11 +101,20 @@
 		total += stallPenalty
 	}
 	if t.reg.Zone != e.settings.Zone {
-		total += max(minCrossZoneCost, time.Duration(crossZoneFactor*float64(median)))
+		total += crossZone
 	}
 	return total
 }
 
+// crossZoneCost returns what an attempt in another zone adds to the cost.
+func crossZoneCost(r *catalog.Route, median time.Duration) time.Duration {
+	cost := max(minCrossZoneCost, time.Duration(crossZoneFactor*float64(median)))
+	if r.FanOut != nil {
+		cost = max(cost, min(time.Duration(crossZoneFanOutFactor*float64(median)), r.Objective*crossZoneObjectivePercent/100))
+	}
+	return cost
+}
+
 // hasHealthyTarget reports whether any target is usable and not ejected.
 func (s *service) hasHealthyTarget(now time.Time) bool {
 	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.usable(now) && !t.ejected(now) && !t.isLeaving() })
--- a/core/serve/publish.go
+++ b/core/serve/publish.go
@@ -14,6 +14,7 @@
 		e.config = ev.Config
 		for name, s := range e.services {
 			s.config = ev.Config.Services[name]
+			s.routed, s.isShard = ev.Config.IsRouted(name), ev.Config.IsShard(name)
 		}
 		e.setWorkspaces(now, ev.Config)
 		e.removeStaleState()
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -39,9 +39,9 @@
 	retries   int
 	crossZone int // attempts at targets of other zones
 
-	relay     *relay       // open relay to another VM; nil without one
+	relays    []*relay     // open relays to other VMs
 	relayed   int          // sub-requests that were relayed
-	relayedTo fleet.VMID   // VM that they were relayed to
+	relayedTo []fleet.VMID // VMs that they were relayed to
 	remote    *remoteState // set if another VM relayed the query to this one
 }
 
@@ -59,13 +59,13 @@
 	queued       bool
 	done         bool
 	response     *Response      // last answer of a target, successful or not
-	relayed      bool           // another VM runs an attempt
+	relay        *relay         // set while another VM runs an attempt
 	merged       *mergedRecords // holds the records instead of response if another VM merged them
 }
 
 // pending returns the number of attempts that may still answer.
 func (sub *subRequest) pending() int {
-	if sub.relayed {
+	if sub.relay != nil {
 		return len(sub.running) + 1
 	}
 	return len(sub.running)
@@ -102,7 +102,7 @@
 	case !now.Before(q.deadline):
 		e.finish(now, q, q.expiredAnswer())
 	default:
-		e.detectLateRelay(now, q)
+		e.detectLateRelays(now, q)
 		e.startDueHedges(now, q)
 		e.setTimer(now, q)
 	}
@@ -219,7 +219,7 @@
 func (e *Engine) removeQuery(now time.Time, q *query, linger time.Duration) {
 	delete(e.queries, q.request.ID)
 	e.timers.Remove(&q.timer)
-	e.cancelRelay(q)
+	e.cancelRelays(q)
 	for _, sub := range q.subRequests {
 		sub.done = true
 		sub.service.removeQueued(sub)
--- a/core/serve/relay.go
+++ b/core/serve/relay.go
@@ -37,8 +37,8 @@
 // VM.
 type mergedRecords struct{ body []byte }
 
-// relayFarShards relays the shards of a fan-out that have no target in this
-// zone to a VM in the zone of their targets, so that one reply crosses zones
+// relayFarShards relays the shards of a fan-out that have no target in this zone to
+// VMs in the zones of their targets, so that one reply of each zone crosses zones
 // instead of an answer of each shard.
 func (e *Engine) relayFarShards(now time.Time, q *query) {
 	if q.route.FanOut == nil || !e.view.IsActive() {
@@ -54,19 +54,24 @@
 			byZone[zone] = append(byZone[zone], sub)
 		}
 	}
-	vm, subRequests := e.chooseRelayVM(now, q, byZone)
-	if len(subRequests) < minRelayShards {
-		return
+	for {
+		vm, subRequests := e.chooseRelayVM(now, q, byZone)
+		if len(subRequests) < minRelayShards {
+			return
+		}
+		e.startRelay(now, q, vm, subRequests)
+		for zone, open := range byZone {
+			byZone[zone] = slices.DeleteFunc(open, func(sub *subRequest) bool { return sub.relay != nil })
+		}
 	}
-	e.startRelay(now, q, vm, subRequests)
 }
 
-// zones returns the zones with targets that are usable, not ejected and not about
-// to end.
+// zones returns the zones with targets that are not known to fail or to be about to
+// end. A connection of this VM is not needed, as a relay uses those of the other VM.
 func (s *service) zones(now time.Time) []string {
 	zones := make([]string, 0, len(s.targets))
 	for _, t := range s.targets {
-		if t.usable(now) && !t.ejected(now) && !t.isLeaving() && !slices.Contains(zones, t.reg.Zone) {
+		if t.isSound(now) && !slices.Contains(zones, t.reg.Zone) {
 			zones = append(zones, t.reg.Zone)
 		}
 	}
@@ -91,7 +96,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b mesh.Node) int { return cmp.Compare(a.ID, b.ID) })
 	vm := candidates[q.seq%uint64(len(candidates))]
-	return vm, byZone[vm.Zone]
+	return vm, slices.Clone(byZone[vm.Zone])
 }
 
 // startRelay relays sub-requests to a VM. The targets in its zone count as
@@ -100,7 +105,8 @@
 	e.relaySeq++
 	r := &relay{id: e.relaySeq, query: q, vm: vm.ID, subRequests: subRequests, started: now}
 	e.relays[r.id] = r
-	q.relay, q.relayedTo, q.relayed = r, vm.ID, len(subRequests)
+	q.relays, q.relayedTo = append(q.relays, r), append(q.relayedTo, vm.ID)
+	q.relayed += len(subRequests)
 	wait := e.hedgeWait(now, q)
 	r.replyDue = now.Add(wait + relayHopAllowance)
 	work := &RelayedWork{
@@ -109,7 +115,7 @@
 	}
 	for _, sub := range subRequests {
 		work.Shards = append(work.Shards, sub.service.name)
-		sub.relayed = true
+		sub.relay = r
 		sub.hedgeAt = r.replyDue
 		for _, t := range sub.service.targets {
 			if t.reg.Zone == vm.Zone {
@@ -138,7 +144,7 @@
 	b := &mergedRecords{body: ev.Reply.Body}
 	for _, done := range ev.Reply.Answers {
 		sub := r.subRequests[done.Shard]
-		sub.relayed = false
+		sub.relay = nil
 		q.attempts += done.Attempts
 		sub.delivered += done.Attempts
 		sub.merged, sub.response = b, &Response{Success: true, Signature: done.Signature}
@@ -151,10 +157,10 @@
 		e.relayedShardFailed(now, r.subRequests[f.Shard], f)
 	}
 	if !ev.Reply.More {
-		e.removeRelay(q)
+		e.removeRelay(r)
 	}
 	for _, sub := range r.subRequests {
-		if sub.relayed && !sub.hedgeAt.IsZero() {
+		if sub.relay == r && !sub.hedgeAt.IsZero() {
 			sub.hedgeAt = now // the other VM has replied, so shards that are still running are late
 		}
 	}
@@ -164,7 +170,7 @@
 // relayedShardFailed retries a sub-request that failed on the other VM, unless
 // an attempt of this VM is in flight.
 func (e *Engine) relayedShardFailed(now time.Time, sub *subRequest, f RelayedFailure) {
-	sub.relayed = false
+	sub.relay = nil
 	sub.delivered += f.Attempts
 	sub.possibleRuns += f.PossibleRuns
 	if sub.done || sub.pending() > 0 {
@@ -191,15 +197,15 @@
 	q := r.query
 	e.emit(LogEvent{Event: LogRelayFailed, Request: q.request, Target: string(r.vm), Cause: ev.Cause, Duration: now.Sub(r.started)})
 	e.relayBlockedUntil[r.vm] = now.Add(relayBackoff)
-	e.removeRelay(q)
+	e.removeRelay(r)
 	failure := RelayedFailure{Attempts: 1, PossibleRuns: 1}
 	if ev.Refused {
 		failure = RelayedFailure{}
 	}
 	var open []*subRequest
 	for _, sub := range r.subRequests {
-		if sub.relayed {
-			sub.relayed = false
+		if sub.relay == r {
+			sub.relay = nil
 			open = append(open, sub)
 		}
 	}
@@ -209,33 +215,33 @@
 	e.advance(now, q)
 }
 
-// detectLateRelay stops relaying to a VM that has sent no reply by the time
-// when one was due.
-func (e *Engine) detectLateRelay(now time.Time, q *query) {
-	r := q.relay
-	if r == nil || r.replied || now.Before(r.replyDue) || now.Before(e.relayBlockedUntil[r.vm]) {
-		return
+// detectLateRelays stops relaying to VMs that have sent no reply by the time when
+// one was due.
+func (e *Engine) detectLateRelays(now time.Time, q *query) {
+	for _, r := range q.relays {
+		if r.replied || now.Before(r.replyDue) || now.Before(e.relayBlockedUntil[r.vm]) {
+			continue
+		}
+		e.relayBlockedUntil[r.vm] = now.Add(relayBackoff)
+		e.emit(LogEvent{Event: LogRelayFailed, Request: q.request, Target: string(r.vm), Cause: "no reply in time", Duration: now.Sub(r.started)})
 	}
-	e.relayBlockedUntil[r.vm] = now.Add(relayBackoff)
-	e.emit(LogEvent{Event: LogRelayFailed, Request: q.request, Target: string(r.vm), Cause: "no reply in time", Duration: now.Sub(r.started)})
 }
 
-func (e *Engine) removeRelay(q *query) {
-	if q.relay == nil {
-		return
-	}
-	delete(e.relays, q.relay.id)
-	q.relay = nil
+func (e *Engine) removeRelay(r *relay) {
+	delete(e.relays, r.id)
+	r.query.relays = slices.DeleteFunc(r.query.relays, func(o *relay) bool { return o == r })
 }
 
-// cancelRelay ends the relay of a query that has ended.
-func (e *Engine) cancelRelay(q *query) {
-	if q.relay == nil {
-		return
-	}
-	for _, sub := range q.relay.subRequests {
-		sub.relayed = false
+// cancelRelays ends the open relays of a query that has ended.
+func (e *Engine) cancelRelays(q *query) {
+	for _, r := range q.relays {
+		for _, sub := range r.subRequests {
+			if sub.relay == r {
+				sub.relay = nil
+			}
+		}
+		delete(e.relays, r.id)
+		e.emit(CancelRelay{Relay: r.id})
 	}
-	e.emit(CancelRelay{Relay: q.relay.id})
-	e.removeRelay(q)
+	q.relays = nil
 }
--- a/core/serve/relay_test.go
+++ b/core/serve/relay_test.go
@@ -44,6 +44,7 @@
 	h := newHarness(t)
 	h.engine.settings.Zone = "z1"
 	h.step(FleetChanged{View: relayView("other1", h.now)})
+	h.advance(maintenanceInterval) // opens connections to the targets of the zone
 	h.openAll()
 	return h
 }
@@ -258,3 +259,80 @@
 	}
 	assert.Equal(t, h.answers[id].Refusal.Outcome, outcome.Unknown)
 }
+
+// Guards against answers that cross zones one by one because only the zone with the
+// most far shards gets a relay.
+func TestEachZoneWithFarShardsGetsARelay(t *testing.T) {
+	h := newRelayHarness(t, 0)
+	view := relayView("vm", h.now)
+	view.Active = append(view.Active, mesh.Node{ID: "other3", Zone: "z2", Peer: "peer-other3"})
+	for i := range 7 { // four shards in z1 only, three in z2 only
+		delete(h.targets, fmt.Sprintf("%s-0", shardName(i)))
+		delete(h.targets, fmt.Sprintf("%s-%d", shardName(i), 1+i/4))
+		delete(h.targets, fmt.Sprintf("%s-%d", shardName(i), 2-i/4))
+		h.addTarget(shardName(i), 1+i/4)
+	}
+	h.publish()
+	h.step(FleetChanged{View: view})
+	h.openAll()
+	id := h.submit("/sweep/x")
+	assert.Equal(t, len(h.started), 3)
+	assert.Equal(t, len(h.relayed), 2)
+	assert.Equal(t, len(h.relayed[0].Work.Shards), 4)
+	assert.Equal(t, len(h.relayed[1].Work.Shards), 3)
+	for n, relay := range append([]StartRelay(nil), h.relayed...) {
+		reply := &RelayReply{Body: []byte(record(string(rune('x' + n))))}
+		for i := range relay.Work.Shards {
+			reply.Answers = append(reply.Answers, RelayedAnswer{Shard: i, Signature: fmt.Sprintf("seal-%d-%d", n, i), Attempts: 1})
+		}
+		h.step(RelayReplied{Relay: relay.Relay, Reply: reply})
+	}
+	h.answerNearShards(7)
+	m := h.answers[id].Merged
+	assert.Equal(t, len(m.Signatures), fanOutShards)
+	assert.Equal(t, string(m.Body), record("y")+record("x")+record("j"))
+	assert.Equal(t, h.answers[id].Trace.Relayed, 7)
+	assert.DeepEqual(t, len(h.answers[id].Trace.RelayedTo), 2)
+}
+
+// Guards against the loss of one relay that ends the others of its query.
+func TestFaultOneOfTwoRelays(t *testing.T) {
+	h := newRelayHarness(t, 0)
+	view := relayView("vm", h.now)
+	view.Active = append(view.Active, mesh.Node{ID: "other3", Zone: "z2", Peer: "peer-other3"})
+	for i := range 7 {
+		delete(h.targets, fmt.Sprintf("%s-0", shardName(i)))
+		if i < 4 {
+			delete(h.targets, fmt.Sprintf("%s-2", shardName(i)))
+		}
+	}
+	h.publish()
+	h.step(FleetChanged{View: view})
+	h.openAll()
+	id := h.submit("/sweep/x")
+	total := 0
+	for _, r := range h.relayed {
+		total += len(r.Work.Shards)
+	}
+	assert.Equal(t, total, 7)
+	failed := h.relayed[0]
+	h.relayed = h.relayed[1:]
+	h.step(RelayFailed{Relay: failed.Relay, Cause: "reset"})
+	for _, s := range failed.Work.Shards {
+		if h.running(s) > 0 {
+			h.answer(h.takeAttempt(s), record("z"))
+		}
+	}
+	for _, relay := range append([]StartRelay(nil), h.relayed...) {
+		reply := &RelayReply{}
+		for i := range relay.Work.Shards {
+			reply.Answers = append(reply.Answers, RelayedAnswer{Shard: i, Signature: fmt.Sprint("seal-", i), Attempts: 1})
+		}
+		h.step(RelayReplied{Relay: relay.Relay, Reply: reply})
+	}
+	h.answerNearShards(7)
+	h.advance(time.Second)
+	a := h.answers[id]
+	assert.Assert(t, a != nil && a.Merged != nil)
+	assert.Equal(t, a.Merged.MissingShards, 0)
+}
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -18,6 +18,8 @@
 type service struct {
 	name        string
 	config      catalog.Service
+	routed      bool // a route of the configuration names it
+	isShard     bool // a fan-out names it
 	targets     []*target
 	queue       []*subRequest // ordered by priority, then by admission
 	budget      *retry.Budget
@@ -32,6 +34,7 @@
 		s = &service{name: name, budget: retry.NewBudget(e.settings.Retry, e.sharers())}
 		if e.config != nil {
 			s.config = e.config.Services[name]
+			s.routed, s.isShard = e.config.IsRouted(name), e.config.IsShard(name)
 		}
 		e.services[name] = s
 	}
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -25,6 +25,17 @@
 	connsUsedPercent = 65
 	spareConns       = 1 // idle connections kept to each target in use
 
+	// spareTargets is the number of targets of a shard that spare connections are
+	// kept to, besides those in use: one for attempts and one for hedges. Targets
+	// close connections that stay idle, so that each further one would be opened
+	// again and again without being used.
+	spareTargets = 2
+	// spareRetention is how long a target counts as in use after an attempt.
+	spareRetention = 10 * time.Second
+	// resetWindow is the time after opening within which the end of a connection
+	// shows that the target does not accept it. Later an idle one has timed out.
+	resetWindow = time.Second
+
 	ejectAfterFailures = 3                      // consecutive failed attempts after which a target is ejected
 	ejectBackoff       = 500 * time.Millisecond // first ejection; doubles with each further one
 	maxEjectBackoff    = 4 * time.Second
@@ -63,6 +74,7 @@
 	connected       bool // a connection is open and reaches the right process
 
 	running             []*attempt
+	startedAt           time.Time // last start of an attempt
 	limit               float64
 	slowness            float64 // mean latency of attempts as a multiple of their route's median
 	sampleAt            time.Time
@@ -116,6 +128,12 @@
 	return t.listed || now.Before(t.retainUntil)
 }
 
+// isSound reports whether nothing speaks against attempts at the target: it is
+// registered, and its connections and attempts have not failed lately.
+func (t *target) isSound(now time.Time) bool {
+	return t.registered(now) && !t.ejected(now) && !t.isLeaving() && !t.backsOff(now) && t.connectFailures == 0
+}
+
 // ejected reports whether the target is avoided after consecutive failures.
 func (t *target) ejected(now time.Time) bool { return now.Before(t.ejectedUntil) }
 
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mesh"
 	"github.com/anvilfork/anvilfork/core/serve"
 	"github.com/anvilfork/anvilfork/metrics"
@@ -210,7 +212,7 @@
 		Int("priority", tr.Priority).Int64("patience_ms", r.Timeout.Milliseconds()).Int64("took_us", tr.Duration.Microseconds()).
 		Int("attempts", tr.Attempts).Int("hedges", tr.Hedges).Int("retries", tr.Retries).Int("cross_zone_attempts", tr.CrossZoneAttempts)
 	if tr.Relayed > 0 {
-		line = line.Int("relayed_shards", tr.Relayed).Str("relayed_to", string(tr.RelayedTo))
+		line = line.Int("relayed_shards", tr.Relayed).Str("relayed_to", joinVMs(tr.RelayedTo))
 	}
 	switch {
 	case a.Refusal != nil:
@@ -225,6 +227,15 @@
 	line.Msg("request ended")
 }
 
+// joinVMs returns the ids separated by commas.
+func joinVMs(ids []fleet.VMID) string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	return strings.Join(names, ",")
+}
+
 // logEvent logs an event of the engine. Events of requests count against the
 // limit of lines per second.
 func (t *engineTask) logEvent(now time.Time, ev serve.LogEvent) {
