Keep a pool of each workspace's rate at the reader

Change: a VM whose share is empty asks the reader for a single request before it refuses. The pool takes 20% of what the tolerance leaves beyond the rates, bursts give up 10% for it.

--- a/core/quota/fleetlimit.go
+++ b/core/quota/fleetlimit.go
@@ -21,18 +21,37 @@
 	// without it callers within their rate would be refused.
 	overRatioUsed = 0.4
 	// burstFraction is the fraction of the remaining tolerance that is given out as
-	// bursts. The remainder covers shares that move between VMs.
-	burstFraction = 0.65
+	// bursts, and poolFraction that of the pool within a window. The remainder covers
+	// shares that move between VMs.
+	burstFraction = 0.55
+	poolFraction  = 0.2
+	// poolBurstFraction is the part of the pool that is there at once; the rest of it
+	// accrues in the course of a window.
+	poolBurstFraction = 0.6
 )
 
 // FleetLimit returns the limit that all VMs together hold, which exceeds limit
 // within the tolerance.
 func (t Tolerance) FleetLimit(limit Limit) Limit {
+	rate, remaining := t.divide(limit)
+	return Limit{RatePerSecond: rate, Burst: remaining * burstFraction}
+}
+
+// PoolLimit returns the limit of the pool, which one VM keeps for all besides the
+// FleetLimit that they divide.
+func (t Tolerance) PoolLimit(limit Limit) Limit {
+	_, remaining := t.divide(limit)
+	pool := remaining * poolFraction
+	return Limit{RatePerSecond: pool * (1 - poolBurstFraction) / t.Window.Seconds(), Burst: max(pool*poolBurstFraction, minBurst)}
+}
+
+// divide returns the rate that all VMs hold, and the requests that the tolerance
+// leaves in a window beyond it.
+func (t Tolerance) divide(limit Limit) (rate, remaining float64) {
 	w := t.Window.Seconds()
 	maxRequests := (limit.RatePerSecond*w+limit.Burst)*(1+t.OverRatio) + t.SlackRequests
-	fleetLimit := Limit{RatePerSecond: limit.RatePerSecond * (1 + overRatioUsed*t.OverRatio)}
-	fleetLimit.Burst = max((maxRequests-fleetLimit.RatePerSecond*w)*burstFraction, 0)
-	return fleetLimit
+	rate = limit.RatePerSecond * (1 + overRatioUsed*t.OverRatio)
+	return rate, max(maxRequests-rate*w, 0)
 }
 
 // VMShare returns this VM's part of the limit that all VMs hold, from its own and
--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -58,6 +58,15 @@
 	e.querySeq++
 	q.seq = e.querySeq
 	e.queries[r.ID] = q
+	if q.awaitsPool != nil {
+		e.timers.Set(&q.timer, now.Add(poolTimeout))
+		return
+	}
+	e.startQuery(now, q)
+}
+
+// startQuery starts the sub-requests of an admitted query.
+func (e *Engine) startQuery(now time.Time, q *query) {
 	e.relayFarShards(now, q)
 	for _, sub := range q.subRequests {
 		sub.service.budget.Earn()
@@ -179,7 +188,7 @@
 }
 
 // chargeQuota takes one request from the quota of its workspace, and returns
-// the refusal if none is left.
+// the refusal if none is left. It may leave the query waiting for the pool.
 func (e *Engine) chargeQuota(now time.Time, q *query) *Answer {
 	if q.workspace == nil {
 		return nil
@@ -188,11 +197,14 @@
 	if ws == nil || ws.bucket == nil {
 		return nil
 	}
-	if wait := ws.bucket.Take(now); wait > 0 {
-		return refusal(outcome.CodeRateExceeded, addJitter(wait, q.request.Fingerprint), "workspace %q is over its rate", q.workspace.Name)
+	if ws.bucket.Take(now) == 0 {
+		q.chargedTo = ws
+		return nil
 	}
-	q.chargedTo = ws
-	return nil
+	if admitted, waiting := e.askPool(now, q, ws); admitted || waiting {
+		return nil
+	}
+	return e.refuseOverRate(now, q, ws)
 }
 
 // addSubRequests adds a sub-request for each shard of a fan-out, or a single
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -116,6 +116,10 @@
 		e.catalogChanged(now, ev)
 	case FleetChanged:
 		e.fleetChanged(now, ev.View)
+	case PoolReplied:
+		e.poolReplied(now, ev)
+	case PoolRequested:
+		e.poolRequested(now, ev)
 	case Delivered:
 		e.deliveryLag.record(ev.Lag)
 	case Tick:
@@ -234,4 +238,5 @@
 	needsFill  bool          // the bucket is new and gets its initial fill with its first limit
 	fleetLimit quota.Limit   // limit of all VMs together
 	demand     rateMeter
+	pool       workspacePool
 }
--- a/core/serve/harness_test.go
+++ b/core/serve/harness_test.go
@@ -33,6 +33,9 @@
 
 	relayed []StartRelay // relays that were not cancelled
 	replies []*RelayReply
+
+	poolAsks    []AskPool // not answered yet
+	poolAnswers []AnswerPool
 }
 
 const (
@@ -145,6 +148,10 @@
 			h.relayed = append(h.relayed, a)
 		case CancelRelay:
 			h.relayed = slices.DeleteFunc(h.relayed, func(s StartRelay) bool { return s.Relay == a.Relay })
+		case AskPool:
+			h.poolAsks = append(h.poolAsks, a)
+		case AnswerPool:
+			h.poolAnswers = append(h.poolAnswers, a)
 		case SendRelayReply:
 			h.replies = append(h.replies, a.Reply)
 		case LogEvent:
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -79,7 +79,8 @@
 	Attempts          int
 	Hedges            int
 	Retries           int
-	CrossZoneAttempts int // attempts at targets of other zones
+	CrossZoneAttempts int  // attempts at targets of other zones
+	FromPool          bool // admitted by the pool of its workspace
 	Shards            int
 	Relayed           int          // shards that were relayed to other VMs
 	RelayedTo         []fleet.VMID // VMs that the shards were relayed to
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -21,6 +21,8 @@
 	workspace     *catalog.Workspace // nil on public routes and on work that another VM relayed
 	workspaceName string             // name of the workspace; empty on public routes
 	chargedTo     *workspaceState    // workspace whose quota was charged; nil if none was
+	fromPool      bool               // admitted by the pool of its workspace
+	awaitsPool    *workspaceState    // set while the query waits for the pool of the workspace
 	priority      int
 	subRequests   []*subRequest
 	minAnswered   int // sub-requests that must succeed for an answer
@@ -94,6 +96,10 @@
 		e.advanceRelayed(now, q)
 		return
 	}
+	if q.awaitsPool != nil { // the only timer that is set meanwhile
+		e.poolReplied(now, PoolReplied{ID: q.request.ID, Failed: true})
+		return
+	}
 	switch {
 	case q.openSubRequests() == 0 && q.answered >= q.minAnswered, q.answered >= q.minAnswered && !now.Before(q.objective):
 		e.finish(now, q, q.successAnswer())
@@ -219,6 +225,7 @@
 func (e *Engine) removeQuery(now time.Time, q *query, linger time.Duration) {
 	delete(e.queries, q.request.ID)
 	e.timers.Remove(&q.timer)
+	e.stopAwaitingPool(q)
 	e.cancelRelays(q)
 	for _, sub := range q.subRequests {
 		sub.done = true
@@ -258,6 +265,7 @@
 	if q.config != nil {
 		t.ConfigVersion = q.config.Version
 	}
+	t.FromPool = q.fromPool
 	t.AdmissionLag, t.AnsweredAt = q.admissionLag, now
 	t.CopyAge, t.Priority, t.Duration = q.copyAge, q.priority, now.Sub(q.arrived)
 	t.Attempts, t.Hedges, t.Retries, t.CrossZoneAttempts, t.Shards = q.attempts, q.hedges, q.retries, q.crossZone, len(q.subRequests)
--- a/core/serve/quota.go
+++ b/core/serve/quota.go
@@ -66,7 +66,9 @@
 			ws = &workspaceState{}
 		}
 		ws.demand.window = demandWindow(w.RatePerSecond)
-		ws.fleetLimit = e.settings.Quota.FleetLimit(quota.Limit{RatePerSecond: w.RatePerSecond, Burst: w.Burst})
+		limit := quota.Limit{RatePerSecond: w.RatePerSecond, Burst: w.Burst}
+		ws.fleetLimit = e.settings.Quota.FleetLimit(limit)
+		ws.pool.setLimit(now, e.settings.Quota.PoolLimit(limit))
 		switch {
 		case w.RatePerSecond <= 0:
 			ws.bucket = nil
--- a/core/serve/quota_test.go
+++ b/core/serve/quota_test.go
@@ -6,7 +6,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mesh"
+	"github.com/anvilfork/anvilfork/core/outcome"
+	"github.com/anvilfork/anvilfork/core/quota"
 )
 
 // quotaFleet is several engines that get the fleet's demand with a delay of
@@ -44,6 +47,7 @@
 		h.openAll()
 		for range perVM[i] {
 			h.submit("/read/x")
+			f.askReader(h)
 			for h.running("single") > 0 {
 				h.answer(h.takeAttempt("single"), "")
 				admitted++
@@ -65,11 +69,115 @@
 	}
 	for i, h := range f.vms {
 		demand := map[string]mesh.Demand{"a": {Own: seen[i], Total: total}}
-		h.step(FleetChanged{View: &mesh.View{Confirmed: h.now, Self: nodes[0], Active: nodes, Sharers: len(nodes), Demand: demand}})
+		h.step(FleetChanged{View: &mesh.View{Confirmed: h.now, Self: nodes[0], Active: nodes, Sharers: len(nodes), Demand: demand,
+			Reader: i == 0, Hubs: []fleet.VMID{"reader"}, Nodes: []mesh.Node{{ID: "reader", Peer: "reader"}}}})
 	}
 	return admitted
 }
 
+// askReader hands the requests of a VM for the pool to the first one, which is the
+// reader.
+func (f *quotaFleet) askReader(h *harness) {
+	for _, ask := range h.poolAsks {
+		reader := f.vms[0]
+		reader.poolAnswers = nil
+		reader.step(PoolRequested{Workspace: ask.Workspace, Ticket: ask.ID})
+		answer := reader.poolAnswers[0]
+		h.step(PoolReplied{ID: answer.Ticket.(RequestID), Granted: answer.Granted, Wait: answer.Wait})
+	}
+	h.poolAsks = nil
+}
+
+// Guards against requests within the rate of a workspace that are refused because
+// they come to VMs without a share: its callers send little and connect to any VM,
+// also just after all VMs were killed.
+func TestFewRequestsToManyVMsAreAdmitted(t *testing.T) {
+	const (
+		vms  = 32
+		rate = 2.0
+	)
+	f := newQuotaFleet(t, vms, rate)
+	idle := make([]int, vms)
+	f.step(idle)
+	sent, admitted := 0, 0
+	for i := range 200 {
+		if i == 100 {
+			f.restart(rate)
+			for range 11 { // until the VMs see each other; before, they don't serve
+				f.step(idle)
+			}
+		}
+		load := make([]int, vms)
+		if i%20 == 0 { // one request in a second, each to another VM
+			load[(7*i/20+3)%vms] = 1
+			sent++
+		}
+		admitted += f.step(load)
+	}
+	assert.Equal(t, admitted, sent)
+}
+
+// Guards against pools that add up beyond the tolerance: a workspace with a low rate
+// sends to all VMs at once, and the reader is replaced.
+func TestPoolKeepsWithinTheTolerance(t *testing.T) {
+	const (
+		vms  = 32
+		rate = 2.0
+	)
+	f := newQuotaFleet(t, vms, rate)
+	limit := testSettings.Quota.PoolLimit(quota.Limit{RatePerSecond: rate, Burst: rate})
+	granted := 0
+	for range int(testSettings.Quota.Window / quotaStep) {
+		f.step(make([]int, vms))
+		for range 5 {
+			reader := f.vms[0]
+			reader.poolAnswers = nil
+			reader.step(PoolRequested{Workspace: "a"})
+			if reader.poolAnswers[0].Granted {
+				granted++
+			}
+		}
+	}
+	tolerance := testSettings.Quota
+	remaining := (rate*tolerance.Window.Seconds()+rate)*(1+tolerance.OverRatio) + tolerance.SlackRequests - 1.1*rate*tolerance.Window.Seconds()
+	assert.Assert(t, float64(granted) <= 0.2*remaining+1, "%d granted of %v left", granted, remaining)
+	assert.Assert(t, float64(granted) >= limit.Burst)
+
+	f.vms[1].poolAnswers = nil
+	f.vms[1].step(PoolRequested{Workspace: "a"})
+	assert.Assert(t, !f.vms[1].poolAnswers[0].Granted, "a VM that is not the reader grants")
+}
+
+// Guards against requests that hang while the reader does not answer, against asking
+// it for each request of a workspace that is far over its rate, and against a request
+// that runs after its caller was refused.
+func TestFaultPoolDoesNotAnswer(t *testing.T) {
+	f := newQuotaFleet(t, 2, 1)
+	f.step([]int{0, 0})
+	h := f.vms[1]
+	for h.engine.workspaces["a"].bucket.Take(h.now) == 0 {
+		continue // leaves nothing of its own share
+	}
+	id := h.submit("/read/x")
+	assert.Equal(t, len(h.poolAsks), 1)
+	assert.Assert(t, h.answers[id] == nil)
+	h.advance(poolTimeout + time.Millisecond)
+	assert.Equal(t, h.answers[id].Refusal.Code, outcome.CodeRateExceeded)
+	h.step(PoolReplied{ID: id, Granted: true})
+	assert.Equal(t, h.running("single"), 0)
+	for range 10 {
+		h.submit("/read/x")
+	}
+	assert.Equal(t, len(h.poolAsks), 1, "the reader is asked again at once")
+	h.advance(poolBackoff)
+	gone := h.submit("/read/x")
+	assert.Equal(t, len(h.poolAsks), 2)
+	h.step(Cancel{ID: gone})
+	h.step(PoolReplied{ID: gone, Granted: true})
+	assert.Equal(t, h.running("single"), 0)
+	assert.Equal(t, h.engine.workspaces["a"].pool.waiting, 0)
+}
+
 // Guards against admitting more than the tolerance in any window while a
 // workspace sends several times its rate, to all VMs at once or to one after
 // the other.
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -11,6 +11,7 @@
 	"github.com/anvilfork/anvilfork/core/mesh"
 	"github.com/anvilfork/anvilfork/core/serve"
 	"github.com/anvilfork/anvilfork/metrics"
+	"github.com/anvilfork/anvilfork/rpc/peer"
 )
 
 // engineInboxSize is the number of messages that may wait for the engine task.
@@ -45,6 +46,7 @@
 	memory       chan<- memoryMsg
 
 	relayClient *relayClient
+	poolClient  *peerClient
 
 	conns          map[serve.ConnID]*targetConn
 	answers        map[serve.RequestID]chan<- *serve.Answer
@@ -147,6 +149,10 @@
 		t.endRelay(a.Relay)
 	case serve.SendRelayReply:
 		t.deliverReply(a)
+	case serve.AskPool:
+		go func() { t.inbox <- engineMsg{event: t.poolClient.take(context.Background(), a)} }()
+	case serve.AnswerPool:
+		a.Ticket.(poolTicket).answer <- &peer.MeshTaken{Granted: a.Granted, WaitUs: a.Wait.Microseconds()}
 	case serve.Respond:
 		t.respond(now, a)
 	case serve.Report:
@@ -214,6 +220,9 @@
 	if tr.Relayed > 0 {
 		line = line.Int("relayed_shards", tr.Relayed).Str("relayed_to", joinVMs(tr.RelayedTo))
 	}
+	if tr.FromPool {
+		line = line.Bool("from_pool", true)
+	}
 	switch {
 	case a.Refusal != nil:
 		line = line.Str("outcome", string(a.Refusal.Outcome)).Str("code", string(a.Refusal.Code)).
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,7 @@
 	engine := newEngineTask(c, &s, p.Targets, log, m)
 	engine.control, engine.memory = inbox, memory.inbox
 	engine.relayClient = newRelayClient(p.Callers)
+	engine.poolClient = newPeerClient(idlePoolConns)
 	g.front = &front{
 		clock: c, codec: p.Callers, log: log, engine: engine.inbox, memory: memory.inbox, done: g.done, listener: listener,
 		limits: make(chan catalog.Limits, 1), stopping: make(chan struct{}), drain: make(chan time.Duration),
@@ -65,7 +66,7 @@
 	g.control = &controlTask{
 		clock: c, store: p.Store, log: log, machine: mesh.New(c.now(), meshSettings(c, &s)), builder: catalog.NewBuilder(),
 		inbox: inbox, viewRequests: make(chan chan<- *mesh.View), engine: engine.inbox, limits: g.front.limits,
-		peers: newPeerClient(), view: &mesh.View{},
+		peers: newPeerClient(1), view: &mesh.View{},
 	}
 	if err := g.startServers(&s, p, engine, m); err != nil {
 		return nil, err
@@ -96,7 +97,7 @@
 func (g *Gateway) startServers(s *Settings, p Platform, engine *engineTask, m *metrics.Registry) error {
 	v := viewClient{requests: g.control.viewRequests}
 	peers := http.NewServeMux()
-	peers.Handle(peer.MeshPathPrefix, peer.NewMeshServer(&peerServer{control: g.control.inbox}))
+	peers.Handle(peer.MeshPathPrefix, peer.NewMeshServer(&peerServer{control: g.control.inbox, engine: engine.inbox}))
 	peers.Handle(peer.RelayPathPrefix, peer.NewRelayServer(&relayServer{engine: engine.inbox, codec: p.Callers}))
 	interfaces := []struct {
 		name, address string
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -11,12 +11,14 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/anvilfork/anvilfork/core/mesh"
+	"github.com/anvilfork/anvilfork/core/serve"
 	"github.com/anvilfork/anvilfork/internal/http1"
 	"github.com/anvilfork/anvilfork/rpc/peer"
 )
 
 const (
 	peerConnectTimeout = 400 * time.Millisecond
+	idlePoolConns      = 2                // to the reader, for requests of its pools
 	peerIdleTimeout    = 30 * time.Second // far above the interval of heartbeats
 )
 
@@ -25,10 +27,11 @@
 	http *http.Client
 }
 
-func newPeerClient() *peerClient {
+// newPeerClient returns a client that keeps so many idle connections to each VM.
+func newPeerClient(idleConns int) *peerClient {
 	dialer := &net.Dialer{Timeout: peerConnectTimeout}
 	return &peerClient{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}}}
 }
@@ -60,6 +63,7 @@
 // peerServer passes heartbeats and store changes of other VMs to the control task.
 type peerServer struct {
 	control chan<- mesh.Event
+	engine  chan<- engineMsg
 }
 
 // Exchange implements peer.Mesh. It answers a heartbeat.
@@ -93,6 +97,42 @@
 	}
 }
 
+// Take implements peer.Mesh. It takes a request from this VM's pool of a workspace.
+func (s *peerServer) Take(ctx context.Context, r *peer.MeshTake) (*peer.MeshTaken, error) {
+	answer := make(chan *peer.MeshTaken, 1)
+	select {
+	case s.engine <- engineMsg{event: serve.PoolRequested{Workspace: r.GetWorkspace(), Ticket: poolTicket{answer}}}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case taken := <-answer:
+		return taken, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// poolTicket is where the engine task sends the answer of a pool.
+type poolTicket struct {
+	answer chan<- *peer.MeshTaken // has room for one
+}
+
+// take asks another VM for a request of a workspace.
+func (c *peerClient) take(ctx context.Context, a serve.AskPool) serve.PoolReplied {
+	ctx, cancel := context.WithTimeout(ctx, poolCallTimeout)
+	defer cancel()
+	taken, err := peer.NewMeshProtobufClient("http://"+a.Peer, c.http).Take(ctx, &peer.MeshTake{Workspace: a.Workspace})
+	if err != nil {
+		return serve.PoolReplied{ID: a.ID, Failed: true}
+	}
+	return serve.PoolReplied{ID: a.ID, Granted: taken.GetGranted(), Wait: time.Duration(taken.GetWaitUs()) * time.Microsecond}
+}
+
+// poolCallTimeout bounds a call for a request of the pool. The engine gives the
+// request up before.
+const poolCallTimeout = 200 * time.Millisecond
+
 // heartbeatTicket tells the control task how to encode the reply to a heartbeat
 // and where to send it.
 type heartbeatTicket struct {
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -41,7 +41,7 @@
 	mux.Handle(peer.MeshPathPrefix, peer.NewMeshServer(&peerServer{control: received}))
 	server := httptest.NewServer(mux)
 	inbox := make(chan mesh.Event, 1)
-	task := &controlTask{clock: newClock(), log: zerolog.Nop(), inbox: inbox, peers: newPeerClient()}
+	task := &controlTask{clock: newClock(), log: zerolog.Nop(), inbox: inbox, peers: newPeerClient(1)}
 	sent := mesh.ForwardDelta{
 		To: mesh.Node{ID: "b", Peer: strings.TrimPrefix(server.URL, "http://")},
 		Delta: mesh.Delta{After: 7, Update: &mirror.Update{Revision: 9, Entries: []mirror.Entry{
