Encode members once for the replies of a hub

Ruled out: a list that replies share for 40 or 100 ms; VMs that got an incomplete one chose different hubs, and knew 49 to 82 of 89 members 3 s after the seeds had come back (core/mesh:TestSeedsComeBackLast, reverted).

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -36,7 +36,7 @@
 	engine       chan<- engineMsg
 	limits       chan<- catalog.Limits
 	peers        *peerClient
-	encoder      updateEncoder
+	encoder      replyEncoder
 	view         *mesh.View
 	isReader     bool // whether this VM reads the store, as last logged
 }
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -77,7 +77,7 @@
 		})
 	}
 	for _, readsPacked := range []bool{true, false} {
-		encoded, err := new(updateEncoder).encode(reply, readsPacked)
+		encoded, err := new(replyEncoder).encode(reply, readsPacked)
 		assert.NilError(t, err)
 		size := proto.Size(encoded)
 		assert.Assert(t, !readsPacked || size <= vms*maxBytesPerVM, "%d bytes", size)
@@ -90,3 +90,29 @@
 	_, err := decodeReply(&peer.MeshReply{Packed: []byte("no members")})
 	assert.ErrorContains(t, err, "MeshMembers")
 }
+
+// Guards against a hub that is busy for seconds while a whole fleet starts, since it
+// encodes all members anew for each reply, and against members that are mixed up with
+// those of earlier replies.
+func TestMembersAreEncodedOnce(t *testing.T) {
+	const vms, maxAllocations = 300, 40
+	var e replyEncoder
+	reply := &mesh.HeartbeatReply{NodesFull: true}
+	for i := range vms {
+		reply.Nodes = append(reply.Nodes, mesh.Node{ID: fleet.VMID(fmt.Sprint("vm", i)), Zone: "z", Edition: 1})
+	}
+	allocations := testing.AllocsPerRun(20, func() {
+		_, err := e.encode(reply, true)
+		assert.NilError(t, err)
+	})
+	assert.Assert(t, allocations <= maxAllocations, "%v allocations", allocations)
+	for range 3 {
+		reply.Nodes[7].Edition++
+		reply.Nodes = append(reply.Nodes[:9:9], reply.Nodes[10:]...)
+		encoded, err := e.encode(reply, true)
+		assert.NilError(t, err)
+		decoded, err := decodeReply(encoded)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded.Nodes, reply.Nodes)
+	}
+}
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/anvilfork/anvilfork/core/fleet"
@@ -104,22 +105,34 @@
 	return r
 }
 
-// updateEncoder encodes replies to heartbeats. Many VMs get the same update at the
-// same time, so it caches the last encoded update.
-type updateEncoder struct {
-	update  *mirror.Update
-	encoded []byte
+// replyEncoder encodes replies to heartbeats. When a whole fleet starts, a hub answers
+// hundreds of VMs at once, each with all members and the same update, so it caches the
+// last encoded update and the encoded form of each member, and reuses its compressor.
+type replyEncoder struct {
+	update     *mirror.Update
+	encoded    []byte
+	members    map[fleet.VMID]encodedMember
+	compressor *flate.Writer // nil until it is used
 }
 
+// encodedMember is a member and its field in a MeshMembers message.
+type encodedMember struct {
+	node  mesh.Node
+	field []byte
+}
+
+// membersNodesField is the number of the field nodes of MeshMembers.
+const membersNodesField = 1
+
 // minPackedMembers is the smallest number of members that is worth compressing.
 const minPackedMembers = 8
 
 // encode encodes a reply. Large member lists are packed if the receiver can decode
 // that.
-func (e *updateEncoder) encode(r *mesh.HeartbeatReply, readsPacked bool) (*peer.MeshReply, error) {
+func (e *replyEncoder) encode(r *mesh.HeartbeatReply, readsPacked bool) (*peer.MeshReply, error) {
 	m := &peer.MeshReply{
 		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull,
-		Nodes: encodeNodes(r.Nodes), Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand), Blocked: r.Blocked,
+		Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand), Blocked: r.Blocked,
 		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
 	}
 	if r.CopyAge < 0 {
@@ -129,11 +142,13 @@
 		m.Gone = append(m.Gone, string(id))
 	}
 	var err error
-	if readsPacked && len(m.Nodes) >= minPackedMembers {
-		if m.Packed, err = deflate(&peer.MeshMembers{Nodes: m.Nodes, Gone: m.Gone}); err != nil {
+	if readsPacked && len(r.Nodes) >= minPackedMembers {
+		if m.Packed, err = e.packMembers(r.Nodes, m.Gone); err != nil {
 			return nil, err
 		}
-		m.Nodes, m.Gone = nil, nil
+		m.Gone = nil
+	} else {
+		m.Nodes = encodeNodes(r.Nodes)
 	}
 	if r.Update != nil {
 		m.Update, err = e.encodeUpdate(r.Update)
@@ -141,10 +156,72 @@
 	return m, err
 }
 
+// packMembers returns a compressed MeshMembers message. Its fields are encoded one by
+// one, since most members are the same as in the last reply.
+func (e *replyEncoder) packMembers(members []mesh.Node, gone []string) ([]byte, error) {
+	if e.members == nil {
+		e.members = make(map[fleet.VMID]encodedMember)
+	}
+	plain, err := proto.Marshal(&peer.MeshMembers{Gone: gone})
+	if err != nil {
+		return nil, errors.Wrap(err, "members")
+	}
+	for _, n := range members {
+		known := e.members[n.ID]
+		if known.node != n {
+			node, err := proto.Marshal(encodeNode(n))
+			if err != nil {
+				return nil, errors.Wrapf(err, "member %q", n.ID)
+			}
+			field := protowire.AppendTag(nil, membersNodesField, protowire.BytesType)
+			known = encodedMember{node: n, field: protowire.AppendBytes(field, node)}
+			e.members[n.ID] = known
+		}
+		plain = append(plain, known.field...)
+	}
+	if len(e.members) > 2*len(members)+maxStaleMembers {
+		clear(e.members) // most of them are of VMs that are gone
+	}
+	return e.compress(plain)
+}
+
+// maxStaleMembers bounds the encoded members of VMs that are gone.
+const maxStaleMembers = 1024
+
+// deflate encodes and compresses a message. Entries and members resemble each other,
+// traffic between zones is expensive, and the smallest VMs have little bandwidth.
+func (e *replyEncoder) deflate(m proto.Message) ([]byte, error) {
+	plain, err := proto.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%T", m)
+	}
+	return e.compress(plain)
+}
+
+func (e *replyEncoder) compress(plain []byte) ([]byte, error) {
+	var b bytes.Buffer
+	if e.compressor == nil {
+		w, err := flate.NewWriter(&b, flate.BestSpeed)
+		if err != nil {
+			return nil, errors.Wrap(err, "compressor")
+		}
+		e.compressor = w
+	} else {
+		e.compressor.Reset(&b)
+	}
+	if _, err := e.compressor.Write(plain); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if err := e.compressor.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	return b.Bytes(), nil
+}
+
 // encodeUpdate returns the encoded update, from the cache if it is the last one.
-func (e *updateEncoder) encodeUpdate(u *mirror.Update) ([]byte, error) {
+func (e *replyEncoder) encodeUpdate(u *mirror.Update) ([]byte, error) {
 	if u != e.update {
-		encoded, err := encodeUpdate(u)
+		encoded, err := e.deflate(encodeUpdate(u))
 		if err != nil {
 			return nil, err
 		}
@@ -179,12 +256,12 @@
 	return r, err
 }
 
-func encodeUpdate(u *mirror.Update) ([]byte, error) {
+func encodeUpdate(u *mirror.Update) *peer.MeshUpdate {
 	m := &peer.MeshUpdate{Complete: u.Full, AsOf: u.Revision}
 	for _, e := range u.Entries {
 		m.Entries = append(m.Entries, &peer.MeshEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
-	return deflate(m)
+	return m
 }
 
 func decodeUpdate(encoded []byte) (*mirror.Update, error) {
@@ -199,28 +276,7 @@
 	return u, nil
 }
 
-// deflate encodes and compresses entries or members, which resemble each other:
-// traffic between zones is expensive, and the smallest VMs have little bandwidth.
-func deflate(m proto.Message) ([]byte, error) {
-	plain, err := proto.Marshal(m)
-	if err != nil {
-		return nil, errors.Wrapf(err, "%T", m)
-	}
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrapf(err, "%T", m)
-	}
-	if _, err := w.Write(plain); err != nil {
-		return nil, errors.Wrapf(err, "%T", m)
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrapf(err, "%T", m)
-	}
-	return b.Bytes(), nil
-}
-
-// inflate decodes a message that deflate encoded. It reads at most
+// inflate decodes a message that a replyEncoder compressed. It reads at most
 // maxInflatedBytes of it.
 func inflate(encoded []byte, into proto.Message) error {
 	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(encoded)), maxInflatedBytes))
