Choose strong hubs, and tell starting VMs of hubs only

Cause: after a restart of 295 VMs, 11 of the 33 that were logged took all 294 others for lost 2.5 s later, for 50 ms: their hub, the VM with the earliest start by some milliseconds, had not answered for 1.8 s. And half a second passed before the first VM had a copy, as the seeds were busy with lists of all members.

Change: VMs that start within 10 s are ordered as hubs by their power. While neither side has a copy, a reply names the four VMs that are to be hubs and the size of the fleet, by which VMs take turns if they have to read the store themselves (core/mesh:TestSlowListingIsNotRepeatedByAll failed without it).

Shown: core/mesh:TestHubsAreStrongVMs, TestStartingVMsGetHubsOnly.

--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -173,6 +173,10 @@
 	if !m.isHub() {
 		reply.Hubs = m.answeringHubs(now)
 	}
+	if r.StoreRevision == 0 && m.storeCopy.Revision() == 0 {
+		reply.Nodes, reply.FleetSize = m.likelyHubs(), len(m.members)+1
+		return reply
+	}
 	since := r.NodesSeq
 	if r.NodesEpoch != m.self.StartedUnixMs || since < m.forgottenSeq {
 		since = 0
@@ -191,6 +195,17 @@
 	return reply
 }
 
+// likelyHubs returns the members that are to be hubs first. A VM without a copy of
+// the store needs no others yet: when a whole fleet starts, lists of all members for
+// VMs that only look for a copy would keep the hubs from reading the store.
+func (m *Machine) likelyHubs() []Node {
+	candidates := slices.DeleteFunc(m.hubCandidates(), func(n Node) bool { return n.ID == m.self.ID })
+	return candidates[:min(len(candidates), maxLikelyHubs)]
+}
+
+// maxLikelyHubs covers the hubs, and others for the case that these fail.
+const maxLikelyHubs = 2 * hubCount
+
 // answeringHubs returns the hubs that answered a heartbeat of this VM within its
 // TTL.
 func (m *Machine) answeringHubs(now time.Time) []Node {
@@ -228,6 +243,7 @@
 		return
 	}
 	hub.suspectUntil = time.Time{}
+	m.fleetSize = reply.FleetSize
 	m.applyMemberChanges(now, hub, reply)
 	for _, n := range reply.Hubs {
 		if known := m.members[n.ID]; known == nil || !known.gone {
--- a/core/mesh/heartbeat_test.go
+++ b/core/mesh/heartbeat_test.go
@@ -1,12 +1,15 @@
 package mesh
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/anvilfork/anvilfork/core/fleet"
+	"github.com/anvilfork/anvilfork/core/mirror"
 )
 
 const targetConnections = 78 // connections that a target of the users' large sites accepts
@@ -119,3 +122,57 @@
 		})
 	}
 }
+
+// Guards against a weak VM as a hub after all VMs were started together: it did not
+// answer hundreds of VMs for 1.8 s, and they took all others for lost.
+func TestHubsAreStrongVMs(t *testing.T) {
+	s := newSimulation(t, 20)
+	strong := []fleet.VMID{"vm011", "vm014"}
+	s.powers = make(map[fleet.VMID]float64)
+	for _, id := range s.order {
+		s.powers[id] = 0.2
+		if slices.Contains(strong, id) {
+			s.powers[id] = 0.8
+		}
+		s.start(id)
+	}
+	s.run(4 * time.Second)
+	for _, id := range s.order {
+		hubs := slices.Clone(s.vms[id].view.Hubs)
+		slices.Sort(hubs)
+		assert.DeepEqual(t, hubs, strong)
+	}
+	// A VM that starts much later does not take over.
+	s.powers["vm005"] = 2
+	s.now = s.now.Add(seniorityStep)
+	s.start("vm005")
+	s.run(4 * time.Second)
+	assert.Assert(t, !slices.Contains(s.vms["vm007"].view.Hubs, "vm005"))
+}
+
+// Guards against hubs that are busy with lists of all members while a whole fleet
+// starts and nobody has a copy of the store: VMs that look for one need the hubs only.
+func TestStartingVMsGetHubsOnly(t *testing.T) {
+	m := New(epoch, Settings{Self: Node{ID: "hub", Peer: "hub", Zone: "z0", StartedUnixMs: 1, Power: 1}, Seeds: []string{"hub"}})
+	beat := func(i int, revision uint64) *HeartbeatReply {
+		id := fleet.VMID(fmt.Sprintf("vm%03d", i))
+		r := &HeartbeatRequest{From: Node{ID: id, Peer: string(id), Zone: "z1", StartedUnixMs: 2, Power: float64(i)}, Interval: time.Second, StoreRevision: revision}
+		for _, a := range m.Step(epoch, Heartbeat{Request: r}) {
+			if answer, ok := a.(AnswerHeartbeat); ok {
+				return answer.Reply
+			}
+		}
+		t.Fatal("no reply")
+		return nil
+	}
+	const vms = 100
+	for i := range vms {
+		assert.Assert(t, len(beat(i, 0).Nodes) <= maxLikelyHubs)
+	}
+	first := beat(3, 0)
+	assert.Equal(t, first.Nodes[0].ID, fleet.VMID("vm099"))
+	assert.Equal(t, first.NodesSeq, uint64(0))
+	assert.Equal(t, len(beat(3, 7).Nodes), vms)
+	m.Step(epoch, StoreRead{Sent: epoch, Update: &mirror.Update{Full: true, Revision: 9, Entries: []mirror.Entry{{Key: "config", Revision: 9}}}})
+	assert.Equal(t, len(beat(3, 0).Nodes), vms)
+}
--- a/core/mesh/hubs.go
+++ b/core/mesh/hubs.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+// seniorityStep is the difference in start times from which the longer-running VM is
+// the better hub. VMs that start together are ordered by their power instead: a hub
+// answers the whole fleet, which takes a weak VM seconds after a restart of all.
+const seniorityStep = 10 * time.Second
+
 // hubCandidates returns all VMs that may be hubs, the longest-running first. VMs
 // whose reads of the store fail come last.
 func (m *Machine) hubCandidates() []Node {
@@ -25,7 +30,9 @@
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(a.StartedUnixMs, b.StartedUnixMs), cmp.Compare(a.ID, b.ID))
+		step := seniorityStep.Milliseconds()
+		return cmp.Or(cmp.Compare(a.StartedUnixMs/step, b.StartedUnixMs/step), cmp.Compare(b.Power, a.Power),
+			cmp.Compare(a.StartedUnixMs, b.StartedUnixMs), cmp.Compare(a.ID, b.ID))
 	})
 	return nodes
 }
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -125,6 +125,7 @@
 	sharers           int                       // View.Sharers of the last view
 	hubs              []Node                    // as of the last step
 	heartbeatAddrs    []string                  // addresses that heartbeats go to, as of the last step
+	fleetSize         int                       // number of VMs that a hub knows, while this VM knows the hubs only; else zero
 	hubRank           int                       // position of this VM in the order of hub candidates
 	readInFlight      bool                      // of the store
 	needsListing      bool                      // the next read lists all entries
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -40,8 +40,9 @@
 	dropsDeltas    map[fleet.VMID]bool // VMs that receive no deltas
 	deltasSent     map[fleet.VMID]int  // deltas sent, by sender
 
-	maxConnections  int           // that a target accepts
-	listingDuration time.Duration // time that the store needs for a listing
+	powers          map[fleet.VMID]float64 // of VMs with another power than 1
+	maxConnections  int                    // that a target accepts
+	listingDuration time.Duration          // time that the store needs for a listing
 }
 
 type vm struct {
@@ -90,6 +91,9 @@
 // start starts a VM, or restarts it with a new process.
 func (s *simulation) start(id fleet.VMID) {
 	node := Node{ID: id, Peer: string(id), Front: "front-" + string(id), Zone: fmt.Sprintf("z%d", slices.Index(s.order, id)%4), StartedUnixMs: s.now.UnixMilli(), Power: 1}
+	if power := s.powers[id]; power > 0 {
+		node.Power = power
+	}
 	s.vms[id] = &vm{machine: New(s.now, Settings{Self: node, Seeds: s.seeds}), node: node, entries: make(map[string]uint64), running: true}
 }
 
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -77,6 +77,7 @@
 	CopyAge     time.Duration  // since the hub's copy of the store was confirmed to be complete; negative when it never was
 	Update      *mirror.Update // nil when the sender's copy is as new as the hub's
 	NodesSeq    uint64         // number of the last change to the hub's members
+	FleetSize   int            // number of VMs that the hub knows, if Nodes holds only those that are to be hubs
 	NodesFull   bool           // Nodes holds all members, not only those that changed
 	Nodes       []Node
 	Removed     []fleet.VMID      // members that are no longer reachable
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -68,6 +68,9 @@
 	if len(m.members) == 0 {
 		return m.started.Add(noPeerReadDelay + hashJitter(noPeerReadJitter, string(m.self.ID)))
 	}
+	if m.fleetSize > len(m.members)+1 { // the rank among a few hubs says nothing
+		return m.started.Add(nonSeedReadDelay + hashJitter(time.Duration(m.fleetSize)*fallbackReadDelayPerRank, string(m.self.ID)))
+	}
 	return m.started.Add(nonSeedReadDelay + m.rankDelay())
 }
 
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -131,7 +131,7 @@
 // that.
 func (e *replyEncoder) encode(r *mesh.HeartbeatReply, readsPacked bool) (*peer.MeshReply, error) {
 	m := &peer.MeshReply{
-		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull,
+		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull, Fleet: uint32(r.FleetSize),
 		Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand), Blocked: r.Blocked,
 		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
 	}
@@ -241,7 +241,7 @@
 	}
 	r := &mesh.HeartbeatReply{
 		From: decodeNode(m.GetFrom()), CopyAge: time.Duration(m.GetAgeUs()) * time.Microsecond, NodesSeq: m.GetNodesSeq(),
-		NodesFull: m.GetNodesWhole(), FleetDemand: decodeOffered(m.GetTotals()), Blocked: m.GetBlocked(),
+		NodesFull: m.GetNodesWhole(), FleetSize: int(m.GetFleet()), FleetDemand: decodeOffered(m.GetTotals()), Blocked: m.GetBlocked(),
 		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
 	}
 	r.Nodes, r.Hubs = decodeNodes(m.GetNodes()), decodeNodes(m.GetHubs())
