Keep targets that refuse some of their requests

Change: a refusal ejects a target only if it has answered nothing for a second; otherwise it costs as a failure does, and failures weigh twice as much in the choice of a target, as each takes an attempt from the retry budget.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -196,8 +196,7 @@
 	case ev.Kind == Shed && ev.Backoff > 0: // it has said itself for how long to avoid it
 		t.limit = max(t.limit*limitDecrease, 1)
 	case ev.Kind == Shed:
-		t.limit = max(t.limit*limitDecrease, 1)
-		e.targetFailed(now, t, ev.Kind.String())
+		e.targetShed(now, t)
 	default:
 		e.targetFailed(now, t, ev.Kind.String())
 	}
--- a/core/serve/backoff_test.go
+++ b/core/serve/backoff_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -186,3 +187,31 @@
 	h.advance(250 * time.Millisecond)
 	assert.Assert(t, h.running("single") > 0)
 }
+
+// Guards against a service that loses most of its targets to ejections while they
+// refuse some of their requests: all work went to the one that refused none, which
+// took ten times as long as usual.
+func TestTargetsThatRefuseSomeRequestsStay(t *testing.T) {
+	for _, c := range []struct {
+		lastAnswer time.Duration // before the refusals
+		stays      bool
+	}{{200 * time.Millisecond, true}, {shedTolerance + time.Millisecond, false}} {
+		h := newHarness(t)
+		for _, other := range []string{"single-0", "single-2"} {
+			delete(h.targets, other)
+		}
+		h.publish()
+		h.submit("/read/x")
+		h.answer(h.takeAttempt("single"), "")
+		h.advance(c.lastAnswer)
+		h.confirm()
+		for range ejectAfterFailures {
+			h.submit("/read/x")
+			for h.running("single") > 0 {
+				h.fail(h.takeAttempt("single"), Shed)
+			}
+		}
+		ejected := slices.ContainsFunc(h.logEvents, func(e LogEvent) bool { return e.Event == LogTargetEjected })
+		assert.Equal(t, ejected, !c.stays, "last answer %v before", c.lastAnswer)
+	}
+}
--- a/core/serve/pick.go
+++ b/core/serve/pick.go
@@ -27,7 +27,11 @@
 	// slots are taken, as a fraction of the target's expected latency. Fewer
 	// attempts add less, so that targets with free slots share the work.
 	inFlightCostFactor = 0.25
-	coldSlowdown       = 1.6 // expected latency of a cold target, as a multiple of a warm one's
+	// failureCostFactor is what failures add to the cost when all attempts fail, as
+	// a multiple of the median: each failed one takes an attempt from the retry
+	// budget.
+	failureCostFactor = 6
+	coldSlowdown      = 1.6 // expected latency of a cold target, as a multiple of a warm one's
 )
 
 // pickTarget returns the cheapest target that can accept an attempt of a
@@ -95,7 +99,7 @@
 		cost += unit * (load + 1 - slots) / slots
 	}
 	t.decayFailures(now)
-	cost += t.failureRatio * 3 * float64(median)
+	cost += t.failureRatio * failureCostFactor * float64(median)
 	total := time.Duration(cost)
 	if t.stalled(now) {
 		total += stallPenalty
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -36,9 +36,12 @@
 	// shows that the target does not accept it. Later an idle one has timed out.
 	resetWindow = time.Second
 
-	ejectAfterFailures = 3                      // consecutive failed attempts after which a target is ejected
-	ejectBackoff       = 500 * time.Millisecond // first ejection; doubles with each further one
-	maxEjectBackoff    = 4 * time.Second
+	ejectAfterFailures = 3 // consecutive failed attempts after which a target is ejected
+	// shedTolerance is the time since a target's last answer for which refusals do
+	// not eject it.
+	shedTolerance   = time.Second
+	ejectBackoff    = 500 * time.Millisecond // first ejection; doubles with each further one
+	maxEjectBackoff = 4 * time.Second
 
 	failureDecay         = 3 * time.Second       // time constant with which the failure ratio decays
 	minLoadValidity      = 20 * time.Millisecond // shortest time for which a load report is used
@@ -157,11 +160,28 @@
 	return t.usable(now) && !t.backsOff(now) && len(t.running) < max(int(t.limit), 1) && t.coldLimiter.allows(now) && t.idleConn(now) != nil
 }
 
+// targetShed records a refused attempt. A target that refuses some requests and
+// answers others is not ejected: the remaining targets would get the work of all,
+// and take far longer than another attempt.
+func (e *Engine) targetShed(now time.Time, t *target) {
+	t.limit = max(t.limit*limitDecrease, 1)
+	if now.Sub(t.answeredAt) <= shedTolerance {
+		t.recordFailure(now)
+		return
+	}
+	e.targetFailed(now, t, Shed.String())
+}
+
+// recordFailure makes the target more expensive for a while.
+func (t *target) recordFailure(now time.Time) {
+	t.decayFailures(now)
+	t.failureRatio += (1 - t.failureRatio) / 4
+}
+
 // targetFailed records a failed attempt and ejects the target after several
 // consecutive ones.
 func (e *Engine) targetFailed(now time.Time, t *target, cause string) {
-	t.decayFailures(now)
-	t.failureRatio += (1 - t.failureRatio) / 4
+	t.recordFailure(now)
 	t.consecutiveFailures++
 	if t.consecutiveFailures < ejectAfterFailures || t.ejected(now) {
 		return
