Bound the samples of the delivery lag; count routes once

Cause: found on reading the change. staticcheck (SA4018) refused a map that was written to itself; a VM that was suspended took the pause for its usual lag; and the bound on exchanged timeouts counted the known routes twice. Change: two maps for routed services and shards; a sample of at most 100 ms; the routes of the merged map are counted. Checked: tests of core/serve and core/mesh, staticcheck.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -83,7 +83,8 @@
 	Limits   Limits
 
 	routes     []*Route
-	routed     map[string]bool // services that a route names; true if as a shard
+	routed     map[string]bool // services that a route names
+	shards     map[string]bool // those of them that are shards of a fan-out
 	byHost     map[string][]*Route
 	workspaces []*Workspace
 	byKey      map[string]*Workspace
@@ -96,6 +97,7 @@
 		Version: version, Limits: limits, routes: routes, workspaces: workspaces, byKey: keys,
 		Services: make(map[string]Service, len(services)),
 		routed:   make(map[string]bool),
+		shards:   make(map[string]bool),
 		byHost:   make(map[string][]*Route),
 	}
 	for _, s := range services {
@@ -111,25 +113,22 @@
 
 // addRouted records the services that a route names.
 func (c *Config) addRouted(r *Route) {
-	c.routed[r.Service] = c.routed[r.Service]
+	c.routed[r.Service] = true
 	for _, w := range r.Split {
-		c.routed[w.Service] = c.routed[w.Service]
+		c.routed[w.Service] = true
 	}
 	if r.FanOut != nil {
 		for _, name := range r.FanOut.Shards {
-			c.routed[name] = true
+			c.routed[name], c.shards[name] = true, true
 		}
 	}
 }
 
 // IsRouted reports whether a route sends requests to a service.
-func (c *Config) IsRouted(service string) bool {
-	_, routed := c.routed[service]
-	return routed
-}
+func (c *Config) IsRouted(service string) bool { return c.routed[service] }
 
 // IsShard reports whether a service is a shard of a fan-out.
-func (c *Config) IsShard(service string) bool { return c.routed[service] }
+func (c *Config) IsShard(service string) bool { return c.shards[service] }
 
 // Match returns the route of a host with the longest prefix of path, nil when
 // there is none.
--- a/core/mesh/timeouts.go
+++ b/core/mesh/timeouts.go
@@ -30,21 +30,20 @@
 
 // merge takes over longer timeouts and reports whether there were any.
 func (t *routeTimeouts) merge(reported []RouteTimeout) bool {
-	var merged map[string]time.Duration
+	if len(reported) == 0 {
+		return false
+	}
+	merged, changed := maps.Clone(t.longest), false
+	if merged == nil {
+		merged = make(map[string]time.Duration)
+	}
 	for _, r := range reported {
-		known, exists := t.longest[r.Route]
-		if r.Longest <= known || !exists && len(t.longest)+len(merged) >= maxRouteTimeouts {
-			continue
-		}
-		if merged == nil {
-			merged = maps.Clone(t.longest)
-			if merged == nil {
-				merged = make(map[string]time.Duration)
-			}
+		longest, known := merged[r.Route]
+		if r.Longest > longest && (known || len(merged) < maxRouteTimeouts) {
+			merged[r.Route], changed = r.Longest, true
 		}
-		merged[r.Route] = max(merged[r.Route], r.Longest)
 	}
-	if merged == nil {
+	if !changed {
 		return false
 	}
 	t.longest, t.sum = merged, 0
--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -168,13 +168,16 @@
 	// connection and until the last bytes of an answer leave take about as long as
 	// what is.
 	lagFactor = 2
+	// maxLag bounds a sample: a VM that was suspended for seconds is not that slow
+	// afterwards.
+	maxLag = 100 * time.Millisecond
 	// maxLagPercent is the largest part of the objective, in percent, that is set
 	// aside for the lag.
 	maxLagPercent = 30
 )
 
 func (l *deliveryLag) record(lag time.Duration) {
-	if d := lag - l.estimate; d > 0 {
+	if d := min(lag, maxLag) - l.estimate; d > 0 {
 		l.estimate += d / lagRiseDivisor
 	} else {
 		l.estimate += d / lagFallDivisor
