Keep idle connections to the third target of a shard

So a shard whose first two targets are slow needs the third one connected.

Change: three targets of a shard keep an idle connection, still none of services that no route names. core/serve:TestThirdTargetOfAShardStaysConnected failed before.

--- a/core/serve/spare_test.go
+++ b/core/serve/spare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	for n := range replicas {
 		h.addTarget("later", n)
 	}
+	h.addTarget(shardName(0), replicas)
+	h.addTarget(shardName(0), replicas+1)
 	h.publish()
 	h.openAll()
 	assert.Equal(t, h.opensDuring(shardName(0), 5), 5*spareTargets)
@@ -62,6 +65,8 @@
 // connections fail, while another one serves.
 func TestFaultSpareTargetsFail(t *testing.T) {
 	h := newHarness(t)
+	h.addTarget(shardName(0), replicas)
+	h.publish()
 	service := h.engine.services[shardName(0)]
 	for _, tg := range service.targets[:spareTargets] {
 		id := tg.reg.ID
@@ -76,7 +81,7 @@
 		connecting := h.connecting
 		h.connecting = nil
 		for _, c := range connecting {
-			if c.Address == service.targets[0].reg.ID || c.Address == service.targets[1].reg.ID {
+			if slices.ContainsFunc(service.targets[:spareTargets], func(tg *target) bool { return tg.reg.ID == c.Address }) {
 				h.step(ConnClosed{Conn: c.Conn, Refused: true, Cause: "refused"})
 			} else {
 				h.step(ConnOpened{Conn: c.Conn})
@@ -104,3 +109,25 @@
 		assert.Equal(t, h.everKnown[a.Target].Zone == testSettings.Zone, stays, "slowness %v", slowness)
 	}
 }
+
+// Guards against queries that lose a shard whose first two targets are slow while the
+// third one, to which no connection was kept, could answer in time.
+func TestThirdTargetOfAShardStaysConnected(t *testing.T) {
+	h := newHarness(t)
+	for range 3 {
+		h.advance(10 * time.Second)
+		for id := range h.opened {
+			if c := h.engine.conns[id]; c != nil && c.open {
+				h.step(ConnClosed{Conn: id, Cause: "EOF"})
+			}
+		}
+		h.advance(maintenanceInterval)
+		h.openAll()
+	}
+	h.confirm()
+	for _, slow := range []string{shardName(0) + "-0", shardName(0) + "-1"} {
+		h.engine.targets[slow].slowness, h.engine.targets[slow].sampleAt = maxSlowness, h.now
+	}
+	h.submit("/sweep/x")
+	assert.Equal(t, h.takeAttempt(shardName(0)).Target, shardName(0)+"-2")
+}
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -26,10 +26,10 @@
 	spareConns       = 1 // idle connections kept to each target in use
 
 	// spareTargets is the number of targets of a shard that spare connections are
-	// kept to, besides those in use: one for attempts and one for hedges. Targets
-	// close connections that stay idle, so that each further one would be opened
-	// again and again without being used.
-	spareTargets = 2
+	// kept to, besides those in use: for attempts, for hedges, and for the case that
+	// the first two are slow. Targets close connections that stay idle, so that each
+	// further one would be opened again and again without being used.
+	spareTargets = 3
 	// spareRetention is how long a target counts as in use after an attempt.
 	spareRetention = 10 * time.Second
 	// resetWindow is the time after opening within which the end of a connection
