Keep bursts and pools within what bursts were

The store turns VMs away from 1.0 to 7.2 s beside a workspace at 3.3 times its usual, so that other VMs become the reader, each with full pools; and bursts with the pool took 75% of what the tolerance leaves, where bursts alone had taken 65%.

Change: bursts take 45%, with the pool 65% again. A VM that becomes the reader later than 3 s after its start begins with empty pools. core/serve:TestFaultReadersChange fails without it. In TestFaultPoolDoesNotAnswer the VM's own share is spent again before the third request, as the smaller burst leaves another fraction in it; it checks the same.

--- a/core/quota/fleetlimit.go
+++ b/core/quota/fleetlimit.go
@@ -23,7 +23,7 @@
 	// burstFraction is the fraction of the remaining tolerance that is given out as
 	// bursts, and poolFraction that of the pool within a window. The remainder covers
 	// shares that move between VMs.
-	burstFraction = 0.55
+	burstFraction = 0.45
 	poolFraction  = 0.2
 	// poolBurstFraction is the part of the pool that is there at once; the rest of it
 	// accrues in the course of a window.
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -33,6 +33,7 @@
 // single task owns it and calls Step.
 type Engine struct {
 	settings         Settings
+	started          time.Time
 	config           *catalog.Config
 	zonesOut         map[string]bool
 	storeConfirmedAt time.Time // when the copy of the store was last known to be complete
@@ -80,7 +81,7 @@
 // requests.
 func NewEngine(now time.Time, s Settings) *Engine {
 	return &Engine{
-		settings: s, reportAt: now, view: &mesh.View{},
+		settings: s, started: now, reportAt: now, view: &mesh.View{},
 		services: make(map[string]*service), targets: make(map[string]*target), leaving: make(leavingProcesses),
 		queries: make(map[RequestID]*query), attempts: make(map[AttemptID]*attempt),
 		conns: make(map[ConnID]*conn), routes: make(map[string]*routeState),
@@ -196,6 +197,11 @@
 	if gap := v.Confirmed.Sub(e.storeConfirmedAt); !e.storeConfirmedAt.IsZero() && gap > minStoreGap {
 		e.storeRegainedAt = now
 	}
+	if v.Reader && !e.view.Reader {
+		for _, ws := range e.workspaces {
+			ws.pool.reset(now, now.Sub(e.started) < poolFillPeriod)
+		}
+	}
 	sharersBefore := e.sharers()
 	e.view, e.storeConfirmedAt = v, v.Confirmed
 	if e.sharers() != sharersBefore {
--- a/core/serve/pool.go
+++ b/core/serve/pool.go
@@ -21,6 +21,9 @@
 	maxPoolDenial = time.Second
 	// maxPoolWaiting bounds the requests of a workspace that wait for the pool.
 	maxPoolWaiting = 4
+	// poolFillPeriod is the time after its start in which a VM that becomes the reader
+	// begins with full pools. Later another reader has given out of its own before.
+	poolFillPeriod = 3 * time.Second
 )
 
 // The pool of a workspace is a part of its limit that is not divided between the
@@ -70,13 +73,21 @@
 	waiting     int       // requests that wait for an answer of the reader
 }
 
+// reset gives the pool of a VM that becomes the reader: a full one, or else an empty
+// one that fills in the course of time.
+func (p *workspacePool) reset(now time.Time, full bool) {
+	p.bucket = quota.NewBucket(now)
+	p.bucket.SetLimit(now, p.limit, fleet.RateShare{})
+	if full {
+		p.bucket.SetFill(now, 1)
+	}
+}
+
 // take takes a request from the pool of this VM. It returns the time until there is
 // one, zero if it was granted.
 func (p *workspacePool) take(now time.Time) time.Duration {
-	if p.bucket == nil {
-		p.bucket = quota.NewBucket(now)
-		p.bucket.SetLimit(now, p.limit, fleet.RateShare{})
-		p.bucket.SetFill(now, 1)
+	if p.bucket == nil { // of a workspace that is new
+		p.reset(now, true)
 	}
 	return p.bucket.Take(now)
 }
--- a/core/serve/quota_test.go
+++ b/core/serve/quota_test.go
@@ -148,6 +148,33 @@
 	assert.Assert(t, !f.vms[1].poolAnswers[0].Granted, "a VM that is not the reader grants")
 }
 
+// Guards against pools that are full again with each new reader, as when the store
+// turns one VM away after the other: the ones before have given out of theirs.
+func TestFaultReadersChange(t *testing.T) {
+	const vms, rate = 6, 34.0
+	f := newQuotaFleet(t, vms, rate)
+	f.step(make([]int, vms))
+	granted := func(h *harness) int {
+		n := 0
+		for range 40 {
+			h.poolAnswers = nil
+			h.step(PoolRequested{Workspace: "a"})
+			if h.poolAnswers[0].Granted {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Assert(t, granted(f.vms[0]) > 0)
+	for _, h := range f.vms[1:] {
+		h.advance(poolFillPeriod)
+		view := *h.engine.view
+		view.Confirmed, view.Reader = h.now, true
+		h.step(FleetChanged{View: &view})
+		assert.Equal(t, granted(h), 0)
+	}
+}
+
 // Guards against requests that hang while the reader does not answer, against asking
 // it for each request of a workspace that is far over its rate, and against a request
 // that runs after its caller was refused.
@@ -155,9 +182,12 @@
 	f := newQuotaFleet(t, 2, 1)
 	f.step([]int{0, 0})
 	h := f.vms[1]
-	for h.engine.workspaces["a"].bucket.Take(h.now) == 0 {
-		continue // leaves nothing of its own share
+	spendShare := func() {
+		for h.engine.workspaces["a"].bucket.Take(h.now) == 0 {
+			continue // leaves nothing of its own share
+		}
 	}
+	spendShare()
 	id := h.submit("/read/x")
 	assert.Equal(t, len(h.poolAsks), 1)
 	assert.Assert(t, h.answers[id] == nil)
@@ -170,6 +200,7 @@
 	}
 	assert.Equal(t, len(h.poolAsks), 1, "the reader is asked again at once")
 	h.advance(poolBackoff)
+	spendShare()
 	gone := h.submit("/read/x")
 	assert.Equal(t, len(h.poolAsks), 2)
 	h.step(Cancel{ID: gone})
