Add review case 3: gone searchers get requests while the reader is frozen

A removal that is learned late is taken for a lapse and the searcher is kept for another 2.2 s, past DrainMs.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(rec *recorder, root string, trouble bool) bool{
 	"quota-lift": quotaLift,
 	"evacuate":   evacuate,
+	"leave":      leave,
 }
 
 func main() {
