Add review case 2: slow uploads get an empty 200 that no searcher gave

Ending an upload for its memory cancels the context of a request whose body has just been read; the handler returns without an answer and net/http sends 200. Cases 2 and 3 become 3 and 4.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Searchers leave while the machine that reads the store is frozen.
+# Searchers of an evacuated zone are released.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-# TROUBLE=0 plays the same without the freezes.
+# TROUBLE=0 plays the same without the disruption.
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
 [ -x "$root/review/bin/standins" ] && [ -x "$root/target/anvilforkd" ] || exit 2
-exec "$root/review/bin/standins" leave "$root" "$here/record.txt"
+exec "$root/review/bin/standins" evacuate "$root" "$here/record.txt"
--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -198,3 +198,47 @@
 		}
 	}
 }
+
+// upload makes one attempt with a body of size bytes, sent in equal pieces over the
+// given time on a new connection.
+func (c *client) upload(path, key string, size int, over, deadline time.Duration) answer {
+	a := answer{id: fmt.Sprintf("%016x", requestSeq.Add(1)+0x1000000)}
+	c.resolve()
+	c.drop()
+	if len(c.addrs) == 0 {
+		return a
+	}
+	c.addr = c.addrs[c.rng.Intn(len(c.addrs))]
+	conn, err := net.DialTimeout("tcp4", c.addr, time.Second)
+	if err != nil {
+		return a
+	}
+	c.conn, c.br, c.used = conn, bufio.NewReader(conn), false
+	a.sent = c.rec.add(event{kind: "sent", id: a.id, where: c.addr, detail: fmt.Sprintf("POST %s key=%s body of %d bytes over %v", path, key, size, over)})
+	_ = conn.SetDeadline(time.Now().Add(deadline))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Anvilfork-Request-Id: %s\r\nX-Anvilfork-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
+		path, c.host, a.id, deadline.Milliseconds(), key, size)
+	const pieces = 64
+	begun := time.Now()
+	_, err = conn.Write([]byte(head))
+	for i := 0; i < pieces && err == nil; i++ {
+		time.Sleep(time.Until(begun.Add(over * time.Duration(i) / pieces)))
+		_, err = conn.Write(make([]byte, size/pieces))
+	}
+	// An answer may have come before the body was sent.
+	resp, readErr := http.ReadResponse(c.br, &http.Request{Method: http.MethodPost})
+	if readErr == nil {
+		a.body, readErr = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	if readErr != nil {
+		c.end(&a, readErr)
+		return a
+	}
+	a.status, a.header = resp.StatusCode, resp.Header
+	a.ended = c.rec.add(event{kind: "answered", id: a.id, where: c.addr, detail: fmt.Sprintf("%d seal=%s %s", a.status, resp.Header.Get("X-Anvilfork-Response-Seal"), short(a))})
+	if c.answers != nil {
+		c.answers(a)
+	}
+	return a
+}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,6 +19,7 @@
 	"quota-lift": quotaLift,
 	"evacuate":   evacuate,
 	"leave":      leave,
+	"upload":     upload,
 }
 
 func main() {
