--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -20,6 +20,7 @@
 	"evacuate":   evacuate,
 	"leave":      leave,
 	"upload":     upload,
+	"rename":     rename,
 }
 
 func main() {
