--- a/review/standins/evacuate.go
+++ b/review/platform/standins/evacuate.go
@@ -5,7 +5,6 @@
 	"math/rand"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -20,11 +19,11 @@
 		releaseGap = time.Second
 	)
 	st := newStore()
-	var mu sync.Mutex
+	mu := newGuard()
 	rng := rand.New(rand.NewSource(1))
 	work := func(string) time.Duration {
-		mu.Lock()
-		defer mu.Unlock()
+		mu.lock()
+		defer mu.unlock()
 		return time.Duration((0.5 + rng.Float64()) * float64(90*time.Millisecond))
 	}
 	var old []*searcher
--- a/review/standins/fleet.go
+++ b/review/platform/standins/fleet.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -28,7 +27,7 @@
 	fleet    *fleet
 	name, ip string
 	zone     string
-	mu       sync.Mutex
+	mu       guard
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	stopped  bool // not started again
@@ -57,7 +56,7 @@
 	for try := 0; ; try++ {
 		f.machines = nil
 		for i, z := range zones {
-			f.machines = append(f.machines, &machine{fleet: f, name: fmt.Sprintf("front-%s-%d", z, i+1), ip: fmt.Sprintf("127.%d.%d.%d", net3, 1+try, i+1), zone: z})
+			f.machines = append(f.machines, &machine{mu: newGuard(), fleet: f, name: fmt.Sprintf("front-%s-%d", z, i+1), ip: fmt.Sprintf("127.%d.%d.%d", net3, 1+try, i+1), zone: z})
 		}
 		base := 21000 + (os.Getpid()+try*97)%20000
 		for i := range f.ports {
@@ -161,28 +160,28 @@
 	cmd.Stdout, cmd.Stderr = out, out
 	check(cmd.Start())
 	exited := make(chan struct{})
-	m.mu.Lock()
+	m.mu.lock()
 	m.cmd, m.exited, m.expected = cmd, exited, false
-	m.mu.Unlock()
+	m.mu.unlock()
 	go func() {
 		err := cmd.Wait()
 		out.Close()
-		m.mu.Lock()
+		m.mu.lock()
 		own := !m.expected && !m.stopped
 		if own {
 			m.ends++
 		}
 		again := !m.stopped
-		m.mu.Unlock()
+		m.mu.unlock()
 		if own {
 			f.rec.note("%s ended by itself: %v", m.name, err)
 		}
 		close(exited)
 		if again {
 			time.Sleep(restartDelay)
-			m.mu.Lock()
+			m.mu.lock()
 			again = !m.stopped
-			m.mu.Unlock()
+			m.mu.unlock()
 			if again {
 				m.start()
 			}
@@ -192,8 +191,8 @@
 
 // signal sends a signal to the process. ends tells that the process is to end.
 func (m *machine) signal(s syscall.Signal, ends bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.mu.lock()
+	defer m.mu.unlock()
 	m.expected = m.expected || ends
 	_ = m.cmd.Process.Signal(s) // it may have ended
 }
@@ -206,10 +205,10 @@
 
 func (f *fleet) close() {
 	for _, m := range f.machines {
-		m.mu.Lock()
+		m.mu.lock()
 		m.stopped = true
 		cmd, exited := m.cmd, m.exited
-		m.mu.Unlock()
+		m.mu.unlock()
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
 		<-exited
--- a/review/standins/leave.go
+++ b/review/platform/standins/leave.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -25,11 +24,11 @@
 	)
 	st := newStore()
 	zones := []string{"z1", "z2", "z3"}
-	var mu sync.Mutex
+	mu := newGuard()
 	rng := rand.New(rand.NewSource(1))
 	work := func(string) time.Duration {
-		mu.Lock()
-		defer mu.Unlock()
+		mu.lock()
+		defer mu.unlock()
 		return time.Duration((0.5 + rng.Float64()) * float64(11*time.Millisecond))
 	}
 	var serving []*searcher
--- a/review/standins/quotalift.go
+++ b/review/platform/standins/quotalift.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -19,11 +18,11 @@
 	)
 	st := newStore()
 	zones := []string{"z1", "z2", "z3"}
-	var mu sync.Mutex
+	mu := newGuard()
 	rng := rand.New(rand.NewSource(1))
 	work := func(string) time.Duration {
-		mu.Lock()
-		defer mu.Unlock()
+		mu.lock()
+		defer mu.unlock()
 		return time.Duration((0.5 + rng.Float64()) * float64(90*time.Millisecond))
 	}
 	for i := range 3 {
@@ -92,9 +91,9 @@
 	}
 	broken := false
 	for _, m := range f.machines {
-		m.mu.Lock()
+		m.mu.lock()
 		rec.note("%s: ended by itself %d times; requests from kept connections that were passed on and got no answer: %d", m.name, m.ends, lost[m.front()])
-		m.mu.Unlock()
+		m.mu.unlock()
 		broken = broken || lost[m.front()] > 3
 	}
 	rec.note("answers by status: %v", t.byStatus())
--- a/review/standins/record.go
+++ b/review/platform/standins/record.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"sort"
-	"sync"
 	"time"
 )
 
@@ -20,18 +19,18 @@
 
 // recorder keeps all events and writes them to record.txt.
 type recorder struct {
-	mu     sync.Mutex
+	mu     guard
 	start  time.Time
 	events []event
 }
 
-func newRecorder() *recorder { return &recorder{start: time.Now()} }
+func newRecorder() *recorder { return &recorder{mu: newGuard(), start: time.Now()} }
 
 func (r *recorder) now() time.Duration { return time.Since(r.start) }
 
 func (r *recorder) add(e event) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.mu.lock()
+	defer r.mu.unlock()
 	e.at = time.Since(r.start)
 	r.events = append(r.events, e)
 	return e.at
@@ -46,8 +45,8 @@
 }
 
 func (r *recorder) all() []event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.mu.lock()
+	defer r.mu.unlock()
 	return append([]event(nil), r.events...)
 }
 
--- a/review/standins/rename.go
+++ b/review/platform/standins/rename.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -19,11 +18,11 @@
 	)
 	st := newStore()
 	zones := []string{"z1", "z2", "z3"}
-	var mu sync.Mutex
+	mu := newGuard()
 	rng := rand.New(rand.NewSource(1))
 	work := func(string) time.Duration {
-		mu.Lock()
-		defer mu.Unlock()
+		mu.lock()
+		defer mu.unlock()
 		return time.Duration((0.5 + rng.Float64()) * float64(90*time.Millisecond))
 	}
 	for i := range 6 {
--- a/review/standins/searcher.go
+++ b/review/platform/standins/searcher.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 )
 
@@ -24,7 +23,7 @@
 	server            *http.Server
 	slot              chan struct{}
 
-	mu         sync.Mutex
+	mu         guard
 	waiting    int
 	running    int
 	backoffEnd time.Time // 503 with Retry-After until then
@@ -33,7 +32,7 @@
 func newSearcher(rec *recorder, id, service, zone string, slots, queue int, work func(path string) time.Duration) *searcher {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	check(err)
-	s := &searcher{id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: slots, queue: queue, work: work, rec: rec, listener: l, slot: make(chan struct{}, slots)}
+	s := &searcher{mu: newGuard(), id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: slots, queue: queue, work: work, rec: rec, listener: l, slot: make(chan struct{}, slots)}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	go func() { _ = s.server.Serve(l) }()
 	return s
@@ -54,8 +53,8 @@
 }
 
 func (s *searcher) load() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.lock()
+	defer s.mu.unlock()
 	return fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.slots)
 }
 
@@ -88,22 +87,22 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get("X-Anvilfork-Deadline-Ms"), 64); err == nil {
 		deadline = time.Now().Add(time.Duration(ms * float64(time.Millisecond)))
 	}
-	s.mu.Lock()
+	s.mu.lock()
 	if left := time.Until(s.backoffEnd); left > 0 {
-		s.mu.Unlock()
+		s.mu.unlock()
 		w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
 		s.rec.add(event{kind: "pause", id: id, where: s.id, detail: r.RemoteAddr + " " + w.Header().Get("Retry-After")})
 		s.reject(w, http.StatusServiceUnavailable)
 		return
 	}
 	if s.running+s.waiting >= s.slots+s.queue {
-		s.mu.Unlock()
+		s.mu.unlock()
 		s.rec.add(event{kind: "rejected", id: id, where: s.id})
 		s.reject(w, http.StatusServiceUnavailable)
 		return
 	}
 	s.waiting++
-	s.mu.Unlock()
+	s.mu.unlock()
 	timeout := time.NewTimer(time.Until(deadline))
 	defer timeout.Stop()
 	gone := r.Context().Done()
@@ -136,8 +135,8 @@
 }
 
 func (s *searcher) count(waiting, running int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.lock()
+	defer s.mu.unlock()
 	s.waiting += waiting
 	s.running += running
 }
--- a/review/standins/store.go
+++ b/review/platform/standins/store.go
@@ -7,7 +7,6 @@
 	"sort"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -36,7 +35,7 @@
 
 // store is a stand-in of the platform's store, as PROTOCOL.md describes it.
 type store struct {
-	mu       sync.Mutex
+	mu       guard
 	changed  chan struct{} // closed and replaced with each change
 	cut      chan struct{} // closed and replaced when waiting watches are cut
 	revision uint64
@@ -53,7 +52,7 @@
 func newStore() *store {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	check(err)
-	s := &store{changed: make(chan struct{}), cut: make(chan struct{}), revision: 100, items: map[string]item{}, address: l.Addr().String(), listener: l}
+	s := &store{mu: newGuard(), changed: make(chan struct{}), cut: make(chan struct{}), revision: 100, items: map[string]item{}, address: l.Addr().String(), listener: l}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	go func() { _ = s.server.Serve(l) }()
 	return s
@@ -61,8 +60,8 @@
 
 // put writes an entry; the return is the acknowledgement.
 func (s *store) put(key, value string) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.lock()
+	defer s.mu.unlock()
 	s.revision++
 	old, ok := s.items[key]
 	created := s.revision
@@ -77,8 +76,8 @@
 
 // remove deletes an entry; the return is the acknowledgement.
 func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.lock()
+	defer s.mu.unlock()
 	if _, ok := s.items[key]; !ok {
 		return
 	}
@@ -95,15 +94,15 @@
 
 // setDeaf makes watches hear nothing.
 func (s *store) setDeaf() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.lock()
+	defer s.mu.unlock()
 	s.deaf = true
 }
 
 // dropHistory ends the deafness: the history is dropped and waiting watches are cut.
 func (s *store) dropHistory() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.lock()
+	defer s.mu.unlock()
 	s.deaf = false
 	s.history, s.oldest = nil, s.revision
 	close(s.cut)
@@ -112,8 +111,8 @@
 
 // setDown makes the store answer nothing, or answer again.
 func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.lock()
+	defer s.mu.unlock()
 	s.down = down
 	if down {
 		close(s.cut)
@@ -122,8 +121,8 @@
 }
 
 func (s *store) isDown() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.lock()
+	defer s.mu.unlock()
 	return s.down
 }
 
@@ -136,9 +135,9 @@
 	}
 	switch r.URL.Path {
 	case "/v1/kv-key":
-		s.mu.Lock()
+		s.mu.lock()
 		i, ok := s.items[q.Get("Key")]
-		s.mu.Unlock()
+		s.mu.unlock()
 		if !ok {
 			w.WriteHeader(http.StatusNotFound)
 			return
@@ -156,7 +155,7 @@
 }
 
 func (s *store) list(w http.ResponseWriter, prefix, after string) {
-	s.mu.Lock()
+	s.mu.lock()
 	var keys []string
 	for k := range s.items {
 		if strings.HasPrefix(k, prefix) && k > after {
@@ -173,7 +172,7 @@
 		items = append(items, s.items[k])
 	}
 	asOf := s.revision
-	s.mu.Unlock()
+	s.mu.unlock()
 	answerJSON(w, map[string]any{"items": items, "HasMore": more, "AsOf": asOf})
 }
 
@@ -181,9 +180,9 @@
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
-		s.mu.Lock()
+		s.mu.lock()
 		if after < s.oldest && !s.deaf {
-			s.mu.Unlock()
+			s.mu.unlock()
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -198,7 +197,7 @@
 			}
 		}
 		changed, cut := s.changed, s.cut
-		s.mu.Unlock()
+		s.mu.unlock()
 		if len(events) > 0 {
 			answerJSON(w, map[string]any{"events": events, "AsOf": asOf})
 			return
