Keep evacuated targets out of use after the loss of their entries

Cause: target.registered asked for an entry in a zone in service, or for the grace period of a missing entry, and the second way did not look at the zone. Evidence: none of these targets got a request before its entry was removed, and target_lapsed is logged for each at that moment.

Change: one rule. A zone that is out, a drain, a process that ends and another process at the address each take a target out; only after that does it matter whether its entry exists or may have lapsed. The zone is kept by target and set by every change of the catalog.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -191,7 +191,7 @@
 		}
 		return
 	case ev.Kind == WrongProcess:
-		t.listed, t.connected = false, false // until the next CatalogChanged
+		t.replaced, t.connected = true, false // until the next CatalogChanged
 		e.closeIdleConns(t)
 	case ev.Kind == Shed && ev.Backoff > 0: // it has said itself for how long to avoid it
 		t.limit = max(t.limit*limitDecrease, 1)
--- a/core/serve/conns.go
+++ b/core/serve/conns.go
@@ -20,7 +20,7 @@
 		e.closeSurplusConn(now, t)
 		if !t.registered(now) || !e.wantsSpareConns(now, t) && t.idleTime(now) > inactiveIdleTimeout {
 			e.closeIdleConns(t)
-			if len(t.conns) == 0 && !t.retainUntil.IsZero() {
+			if len(t.conns) == 0 && t.missing && !now.Before(t.lapsedUntil) {
 				e.removeTarget(id, t)
 			}
 		}
--- a/core/serve/publish.go
+++ b/core/serve/publish.go
@@ -20,16 +20,16 @@
 		e.removeStaleState()
 		e.emit(LogEvent{Event: LogConfigApplied, Count: int(ev.Config.Version)})
 	}
-	zonesBefore := e.zonesOut
-	e.zonesOut = ev.ZonesOut
 	for id, reg := range ev.Targets {
-		e.applyEntry(now, id, reg, zonesBefore)
+		e.applyEntry(now, id, reg)
 	}
 	for id, t := range e.targets {
 		if ev.Targets[id] == nil {
 			e.entryMissing(now, id, t)
 		}
+		e.setZoneOut(now, t, ev.ZonesOut[t.reg.Zone])
 	}
+	e.zonesOut = ev.ZonesOut
 	for _, s := range e.services {
 		e.startQueued(now, s)
 	}
@@ -56,18 +56,16 @@
 }
 
 // applyEntry applies the entry of a target: it adds a new target, replaces one
-// whose process has changed, or updates it. A target whose zone returns to
-// service warms up again.
-func (e *Engine) applyEntry(now time.Time, id string, reg *catalog.Target, zonesBefore map[string]bool) {
+// whose process has changed, or updates it.
+func (e *Engine) applyEntry(now time.Time, id string, reg *catalog.Target) {
 	t := e.targets[id]
 	if t != nil && !t.reg.SameProcess(reg) {
 		e.closeIdleConns(t)
 		e.removeTarget(id, t)
 		t = nil
 	}
-	zoneOut := e.zonesOut[reg.Zone]
 	if t == nil {
-		t = &target{reg: reg, service: e.service(reg.Service), limit: initialLimit}
+		t = &target{reg: reg, service: e.service(reg.Service), limit: initialLimit, zoneOut: e.zonesOut[reg.Zone]}
 		e.targets[id] = t
 		t.service.targets = append(t.service.targets, t)
 		e.startWarmup(now, t, reg.WarmupLeft)
@@ -78,11 +76,16 @@
 	} else if reg != t.reg {
 		e.updateEntry(now, t, reg)
 	}
-	if zonesBefore[reg.Zone] && !zoneOut {
+	t.missing, t.lapsedUntil, t.replaced = false, time.Time{}, false
+}
+
+// setZoneOut takes a target out of service with its zone, or back. One that comes back
+// warms up again.
+func (e *Engine) setZoneOut(now time.Time, t *target, out bool) {
+	if t.zoneOut && !out {
 		e.startWarmup(now, t, t.service.config.Warmup)
 	}
-	t.listed = !zoneOut
-	t.retainUntil = time.Time{}
+	t.zoneOut = out
 }
 
 // updateEntry applies a changed entry of a known target.
@@ -109,19 +112,18 @@
 // unreachable and shortly after, the target is kept for lapseGrace, as its
 // entry may have lapsed only because it could not be renewed.
 func (e *Engine) entryMissing(now time.Time, id string, t *target) {
-	if !t.retainUntil.IsZero() {
+	if t.missing {
 		return
 	}
-	t.retainUntil = now
-	t.listed = false
+	t.missing = true
 	switch {
 	case e.copyAge(now) > minStoreGap:
-		t.retainUntil = now.Add(lapseGrace)
+		t.lapsedUntil = now.Add(lapseGrace)
 	case !e.storeRegainedAt.IsZero() && now.Before(e.storeRegainedAt.Add(lapseGrace)):
-		t.retainUntil = e.storeRegainedAt.Add(lapseGrace)
+		t.lapsedUntil = e.storeRegainedAt.Add(lapseGrace)
 	}
-	if t.retainUntil.After(now) {
-		e.emit(LogEvent{Event: LogTargetLapsed, Service: t.service.name, Target: id, Duration: t.retainUntil.Sub(now)})
+	if now.Before(t.lapsedUntil) {
+		e.emit(LogEvent{Event: LogTargetLapsed, Service: t.service.name, Target: id, Duration: t.lapsedUntil.Sub(now)})
 		return
 	}
 	e.emit(LogEvent{Event: LogTargetRemoved, Service: t.service.name, Target: id})
@@ -133,7 +135,6 @@
 	if e.targets[id] == t {
 		delete(e.targets, id)
 	}
-	t.listed = false
-	t.retainUntil = time.Unix(0, 0) // in the past: no grace period
+	t.missing, t.lapsedUntil = true, time.Time{}
 	t.service.targets = slices.DeleteFunc(t.service.targets, func(o *target) bool { return o == t })
 }
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -60,10 +60,12 @@
 
 // target is the state of one server of a service on this VM.
 type target struct {
-	reg         *catalog.Target // current entry
+	reg         *catalog.Target // current entry, or the last one
 	service     *service
-	listed      bool      // has an entry, its zone is in service, and no other process has answered at its address
-	retainUntil time.Time // end of the grace period of a target whose entry is missing; zero while the entry exists
+	missing     bool      // has no entry
+	lapsedUntil time.Time // until when a missing entry may have lapsed; zero if it was removed
+	zoneOut     bool      // its zone is out of service
+	replaced    bool      // another process has answered at its address since the entry was read
 	coldUntil   time.Time
 	// lastResortUntil is set once the target's process has said that it is about to
 	// end. Until then it serves requests for want of another target, and none later.
@@ -122,13 +124,17 @@
 	return t.connected && t.registered(now)
 }
 
-// registered reports whether the target's entry allows attempts there, or its
-// loss is still within the grace period.
+// registered reports whether the target may get attempts: it has an entry, or one that
+// may have lapsed, and nothing else takes it out of service. All that keeps a target
+// without an entry is subject to the same conditions.
 func (t *target) registered(now time.Time) bool {
-	if t.reg.Draining || t.isLeaving() && !now.Before(t.lastResortUntil) {
+	switch {
+	case t.zoneOut, t.replaced, t.reg.Draining, t.isLeaving() && !now.Before(t.lastResortUntil):
 		return false
+	case t.missing:
+		return now.Before(t.lapsedUntil)
 	}
-	return t.listed || now.Before(t.retainUntil)
+	return true
 }
 
 // isSound reports whether nothing speaks against attempts at the target: it is
