Decide by failed reads, not by the copy's age, that an entry lapsed

Cause: the removal of an entry counted as a lapse in an outage of the store if this VM's copy was older than 1.5 s. A frozen reader makes every copy old, while the targets reach the store all the time. Together with the time until the next VM reads, the 2.2 s of grace were more than the drain allows.

Change: core/mesh decides why an entry is missing, where the store is read. The store was away if reads of three VMs (all of a smaller fleet) were tried and failed or were overdue since the copy was last confirmed. The VM that reads first afterwards decides; the time of the outage's end goes with replies and deltas, and the engine keeps only the targets that the catalog names as lapsed. An unreadable entry is no lapsed one any more. store_outage_ended is logged.

--- a/core/catalog/builder.go
+++ b/core/catalog/builder.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
 // Change is the meaning of one changed entry of the platform's store.
 type Change interface{ change() }
@@ -12,7 +15,10 @@
 type TargetUpdated struct{ Target *Target }
 
 // TargetRemoved reports that a target no longer has a readable registration.
-type TargetRemoved struct{ ID string }
+type TargetRemoved struct {
+	ID         string
+	Unreadable bool // there is one, but it names no target that can be used
+}
 
 // ZoneOut reports that a zone is taken out of service.
 type ZoneOut struct{ Zone string }
@@ -31,6 +37,10 @@
 	Config   *Config            // nil before the first ConfigUpdated
 	Targets  map[string]*Target // by id
 	ZonesOut map[string]bool    // zones that are out of service
+	// Lapsed holds the targets that were removed since the last Snapshot and may be
+	// back, as their registrations may have lapsed in an outage of the store. The value
+	// is the time until which they may be.
+	Lapsed map[string]time.Time
 }
 
 // Builder accumulates changes into a Snapshot.
@@ -38,16 +48,18 @@
 	config   *Config
 	targets  map[string]*Target
 	zonesOut map[string]bool
+	lapsed   map[string]time.Time
 }
 
 // NewBuilder returns a Builder whose Snapshot is empty.
 func NewBuilder() *Builder {
-	return &Builder{targets: make(map[string]*Target), zonesOut: make(map[string]bool)}
+	return &Builder{targets: make(map[string]*Target), zonesOut: make(map[string]bool), lapsed: make(map[string]time.Time)}
 }
 
 // Apply records a change. A configuration whose version is not newer than the
-// current one is ignored.
-func (b *Builder) Apply(c Change) {
+// current one is ignored. A target that is removed may be back until lapseEnd, unless
+// that is zero or its registration is there and unreadable.
+func (b *Builder) Apply(c Change, lapseEnd time.Time) {
 	switch c := c.(type) {
 	case ConfigUpdated:
 		if b.config == nil || c.Config.Version > b.config.Version {
@@ -55,8 +67,13 @@
 		}
 	case TargetUpdated:
 		b.targets[c.Target.ID] = c.Target
+		delete(b.lapsed, c.Target.ID)
 	case TargetRemoved:
 		delete(b.targets, c.ID)
+		delete(b.lapsed, c.ID)
+		if !lapseEnd.IsZero() && !c.Unreadable {
+			b.lapsed[c.ID] = lapseEnd
+		}
 	case ZoneOut:
 		b.zonesOut[c.Zone] = true
 	case ZoneIn:
@@ -66,5 +83,7 @@
 
 // Snapshot returns the state after all changes so far.
 func (b *Builder) Snapshot() Snapshot {
-	return Snapshot{Config: b.config, Targets: maps.Clone(b.targets), ZonesOut: maps.Clone(b.zonesOut)}
+	lapsed := b.lapsed
+	b.lapsed = make(map[string]time.Time)
+	return Snapshot{Config: b.config, Targets: maps.Clone(b.targets), ZonesOut: maps.Clone(b.zonesOut), Lapsed: lapsed}
 }
--- a/core/mesh/delta.go
+++ b/core/mesh/delta.go
@@ -17,8 +17,9 @@
 // tree, so that a change does not wait for heartbeats, whose interval grows with
 // the fleet. When a delta is lost, the next heartbeat brings the changes.
 type Delta struct {
-	After  uint64
-	Update *mirror.Update
+	After       uint64
+	Update      *mirror.Update
+	RegainedAge time.Duration // see HeartbeatReply.RegainedAge
 }
 
 // ForwardFailed reports that a delta could not be delivered to a VM.
@@ -44,7 +45,8 @@
 	if d.Update.Revision <= m.storeCopy.Revision() || !d.Update.Full && d.After > m.storeCopy.Revision() {
 		return
 	}
-	m.applyUpdate(d.Update)
+	m.learnRegained(now, d.RegainedAge)
+	m.applyUpdate(now, d.Update)
 	m.forwardChanges(now)
 }
 
@@ -52,7 +54,7 @@
 // first copy is not forwarded, since the others have it already.
 func (m *Machine) applyReplyUpdate(now time.Time, u *mirror.Update) {
 	first := m.storeCopy.Revision() == 0
-	m.applyUpdate(u)
+	m.applyUpdate(now, u)
 	if first {
 		m.forwardedRevision = m.storeCopy.Revision()
 		return
@@ -77,7 +79,7 @@
 		m.forwardedRevision = m.storeCopy.Revision()
 		return
 	}
-	d := Delta{After: m.forwardedRevision, Update: m.storeCopy.Since(m.forwardedRevision)}
+	d := Delta{After: m.forwardedRevision, Update: m.storeCopy.Since(m.forwardedRevision), RegainedAge: m.regainedAge(now)}
 	if d.Update == nil {
 		return
 	}
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -163,7 +163,7 @@
 // heartbeatReply returns the reply to a heartbeat, with the changes that its
 // sender lacks.
 func (m *Machine) heartbeatReply(now time.Time, r *HeartbeatRequest) *HeartbeatReply {
-	reply := &HeartbeatReply{From: m.self, Update: m.storeCopy.Since(r.StoreRevision), FleetDemand: m.demandFor(now, r), Blocked: m.blockedFingerprints(), CopyAge: -1, TimeoutsSum: m.timeouts.sum}
+	reply := &HeartbeatReply{From: m.self, Update: m.storeCopy.Since(r.StoreRevision), FleetDemand: m.demandFor(now, r), Blocked: m.blockedFingerprints(), CopyAge: -1, RegainedAge: m.regainedAge(now), TimeoutsSum: m.timeouts.sum}
 	if r.TimeoutsSum != m.timeouts.sum {
 		reply.Timeouts = m.timeouts.list()
 	}
@@ -254,6 +254,7 @@
 	hub.blocked, hub.reportedAt = reply.Blocked, now
 	demand.totals = reply.FleetDemand
 	m.hubDemands[hub.node.ID] = demand
+	m.learnRegained(ev.Sent, reply.RegainedAge)
 	if reply.Update != nil {
 		m.applyReplyUpdate(now, reply.Update)
 	}
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -73,6 +73,7 @@
 	interval      time.Duration // announced heartbeat interval; zero when it sends none to this VM
 	listed        bool          // reported to other VMs, since it sends heartbeats to this one
 	crashes       []Crash
+	failingAt     time.Time           // when this VM learned of node.StoreFailing
 	suspectUntil  time.Time           // not chosen as a hub before this time
 	gone          bool                // removed at the next expiry unless it is seen later
 	connRefused   bool                // its process refused a connection
@@ -131,6 +132,7 @@
 	needsListing      bool                      // the next read lists all entries
 	nextReadAt        time.Time
 	readFailures      int
+	outage            outageEvidence
 	forwardedRevision uint64 // store revision up to which changes were forwarded
 	changeSeq         uint64 // number of the last change to members
 	removals          []removal
@@ -160,6 +162,8 @@
 // Step handles one event and returns the actions that the caller has to perform.
 func (m *Machine) Step(now time.Time, ev Event) []Action {
 	m.actions = nil
+	m.detectSuspension(now)
+	m.detectOverdueRead(now)
 	if now.Sub(m.lastStep) > minProcessPause {
 		m.resumeAfterPause(now)
 	}
@@ -193,6 +197,7 @@
 	case Tick:
 	}
 	m.expire(now)
+	m.announceStoreFailing(now)
 	m.chooseHubs(now)
 	if partitioned := m.isPartitioned(now); partitioned != m.partitioned {
 		m.partitioned, m.viewDirty = partitioned, true
@@ -205,6 +210,7 @@
 	}
 	m.sendHeartbeats(now)
 	m.startRead(now)
+	m.outage.wakeAt = later(m.Next(), now)
 	return m.actions
 }
 
@@ -220,6 +226,9 @@
 			next = earlier(next, c.nextAt)
 		}
 	}
+	if due := m.readOverdueAt(); !due.IsZero() {
+		next = earlier(next, due)
+	}
 	if !m.readInFlight {
 		if at := m.readDue(); !at.IsZero() {
 			next = earlier(next, at)
@@ -251,13 +260,13 @@
 
 // applyUpdate merges an update into the copy of the store. The first copy ends
 // the phase Starting.
-func (m *Machine) applyUpdate(u *mirror.Update) {
+func (m *Machine) applyUpdate(now time.Time, u *mirror.Update) {
 	if changed := m.storeCopy.Apply(u); len(changed) > 0 {
-		m.emit(EntriesChanged{Entries: changed})
+		m.emit(EntriesChanged{Entries: changed, LapseEnd: m.lapseEnd(now)})
 	}
 	if m.self.Phase == Starting && m.storeCopy.Revision() > 0 {
 		m.self.Phase = Serving
-		m.markSelfChanged(m.lastStep)
+		m.markSelfChanged(now)
 	}
 }
 
@@ -267,5 +276,6 @@
 	m.storeCopy.Confirm(asOf, at)
 	if m.storeCopy.ConfirmedAt().After(before) {
 		m.viewDirty = true
+		m.forgetOldFailures()
 	}
 }
--- a/core/mesh/members.go
+++ b/core/mesh/members.go
@@ -56,16 +56,19 @@
 	switch {
 	case peer == nil:
 		peer = &member{node: n}
+		m.noteStoreFailing(now, peer, false)
 		m.members[n.ID] = peer
 		m.markChanged(peer)
 		m.emit(PeerFound{Node: n})
 	case n.StartedUnixMs < peer.node.StartedUnixMs, n.StartedUnixMs == peer.node.StartedUnixMs && n.Edition < peer.node.Edition:
 		return nil // from an earlier process of that VM, or an earlier record
 	case peer.node != n:
+		wasFailing := peer.node.StoreFailing
 		if n.StartedUnixMs != peer.node.StartedUnixMs {
 			*peer = member{}
 		}
 		peer.node = n
+		m.noteStoreFailing(now, peer, wasFailing)
 		m.markChanged(peer)
 	}
 	peer.gone, peer.connRefused = false, false
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -40,6 +40,7 @@
 	Phase         Phase
 	Power         float64 // cores
 	StoreDenied   bool    // its last reads of the store failed
+	StoreFailing  bool    // its reads of the store fail, and no VM is known to have read it since
 	Edition       uint32  // increases with each change that the VM makes to its record
 }
 
@@ -75,6 +76,7 @@
 type HeartbeatReply struct {
 	From        Node
 	CopyAge     time.Duration  // since the hub's copy of the store was confirmed to be complete; negative when it never was
+	RegainedAge time.Duration  // since the fleet could read the store again after an outage; zero when there was none lately
 	Update      *mirror.Update // nil when the sender's copy is as new as the hub's
 	NodesSeq    uint64         // number of the last change to the hub's members
 	FleetSize   int            // number of VMs that the hub knows, if Nodes holds only those that are to be hubs
@@ -179,7 +181,13 @@
 }
 
 // EntriesChanged publishes the entries of the store that changed.
-type EntriesChanged struct{ Entries []mirror.Entry }
+type EntriesChanged struct {
+	Entries []mirror.Entry
+	// LapseEnd is the time until which deleted entries may be back, as they may have
+	// lapsed only because their writers could not reach the store either. It is zero
+	// if the store was not away: the entries were removed.
+	LapseEnd time.Time
+}
 
 // ViewChanged publishes a new View.
 type ViewChanged struct{ View *View }
@@ -190,6 +198,12 @@
 // StoreRecovered reports the first successful read after StoreLost.
 type StoreRecovered struct{}
 
+// OutageEnded reports that this VM is the first to read the store after an outage, as
+// far as it knows.
+type OutageEnded struct {
+	CopyAge time.Duration // since the copy was confirmed last
+}
+
 // PeerLost reports that a VM is no longer a member: it became unresponsive, or its
 // process is gone.
 type PeerLost struct {
@@ -207,6 +221,7 @@
 func (ViewChanged) action()     {}
 func (StoreLost) action()       {}
 func (StoreRecovered) action()  {}
+func (OutageEnded) action()     {}
 func (PeerLost) action()        {}
 func (PeerFound) action()       {}
 
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -21,6 +21,7 @@
 	if m.needsListing {
 		after = 0
 	}
+	m.outage.readStarted(now, after == 0)
 	m.emit(ReadStore{After: after, Wait: watchTimeout})
 }
 
@@ -98,7 +99,8 @@
 	}
 	m.readFailures = 0
 	m.setStoreDenied(now, false)
-	m.applyUpdate(ev.Update)
+	m.noteStoreRead(now)
+	m.applyUpdate(now, ev.Update)
 	m.confirmCopy(ev.Update.Revision, completeAsOf(now, &ev))
 	m.forwardChanges(now)
 }
@@ -127,6 +129,7 @@
 		m.nextReadAt = now
 		return
 	}
+	m.noteReadFailed(now)
 	backoff := min(initialStoreBackoff<<min(m.readFailures, 4), maxStoreBackoff)
 	m.readFailures++
 	m.nextReadAt = now.Add(backoff)
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -53,14 +53,13 @@
 	relays            map[RelayID]*relay
 	relayBlockedUntil map[fleet.VMID]time.Time // until when nothing is relayed to a VM
 
-	attemptSeq      AttemptID
-	connSeq         ConnID
-	relaySeq        RelayID
-	querySeq        uint64
-	reportAt        time.Time // of the next Report
-	storeRegainedAt time.Time // when the copy of the store was confirmed again after a gap
-	maintainAt      time.Time // of the next periodic upkeep
-	actions         []Action
+	attemptSeq AttemptID
+	connSeq    ConnID
+	relaySeq   RelayID
+	querySeq   uint64
+	reportAt   time.Time // of the next Report
+	maintainAt time.Time // of the next periodic upkeep
+	actions    []Action
 }
 
 // timerOwner is the query or the attempt that a timer belongs to. One of the
@@ -194,9 +193,6 @@
 // fleetChanged applies a new view of the fleet and divides the limits anew if
 // the number of VMs that share them has changed.
 func (e *Engine) fleetChanged(now time.Time, v *mesh.View) {
-	if gap := v.Confirmed.Sub(e.storeConfirmedAt); !e.storeConfirmedAt.IsZero() && gap > minStoreGap {
-		e.storeRegainedAt = now
-	}
 	if v.Reader && !e.view.Reader {
 		for _, ws := range e.workspaces {
 			ws.pool.reset(now, now.Sub(e.started) < poolFillPeriod)
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -207,10 +207,12 @@
 type RelayCancelled struct{ ID RequestID }
 
 // CatalogChanged hands over the configuration, the targets by id, and the zones
-// that are out of service. Config is nil while there is none.
+// that are out of service. Config is nil while there is none. Lapsed holds targets that
+// Targets lacks since this event and that may be back, and until when.
 type CatalogChanged struct {
 	Config   *catalog.Config
 	Targets  map[string]*catalog.Target
+	Lapsed   map[string]time.Time
 	ZonesOut map[string]bool
 }
 
--- a/core/serve/publish.go
+++ b/core/serve/publish.go
@@ -25,7 +25,7 @@
 	}
 	for id, t := range e.targets {
 		if ev.Targets[id] == nil {
-			e.entryMissing(now, id, t)
+			e.entryMissing(now, id, t, ev.Lapsed[id])
 		}
 		e.setZoneOut(now, t, ev.ZonesOut[t.reg.Zone])
 	}
@@ -108,22 +108,15 @@
 	t.coldLimiter.start(now, t.coldUntil, t.service.config.ColdRatePerSecond, e.sharers())
 }
 
-// entryMissing handles the loss of a target's entry. While the store is
-// unreachable and shortly after, the target is kept for lapseGrace, as its
-// entry may have lapsed only because it could not be renewed.
-func (e *Engine) entryMissing(now time.Time, id string, t *target) {
+// entryMissing handles the loss of a target's entry. A target whose entry may have
+// lapsed in an outage of the store is kept until lapseEnd; otherwise it is removed.
+func (e *Engine) entryMissing(now time.Time, id string, t *target, lapseEnd time.Time) {
 	if t.missing {
 		return
 	}
-	t.missing = true
-	switch {
-	case e.copyAge(now) > minStoreGap:
-		t.lapsedUntil = now.Add(lapseGrace)
-	case !e.storeRegainedAt.IsZero() && now.Before(e.storeRegainedAt.Add(lapseGrace)):
-		t.lapsedUntil = e.storeRegainedAt.Add(lapseGrace)
-	}
-	if now.Before(t.lapsedUntil) {
-		e.emit(LogEvent{Event: LogTargetLapsed, Service: t.service.name, Target: id, Duration: t.lapsedUntil.Sub(now)})
+	t.missing, t.lapsedUntil = true, lapseEnd
+	if now.Before(lapseEnd) {
+		e.emit(LogEvent{Event: LogTargetLapsed, Service: t.service.name, Target: id, Duration: lapseEnd.Sub(now)})
 		return
 	}
 	e.emit(LogEvent{Event: LogTargetRemoved, Service: t.service.name, Target: id})
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -8,15 +8,6 @@
 )
 
 const (
-	// minStoreGap is the time without a confirmed copy of the store after which
-	// entries may have lapsed only because their targets could not reach the
-	// store.
-	minStoreGap = 1500 * time.Millisecond
-	// lapseGrace is how long after such a gap a target without an entry is
-	// kept: the platform restores the entries of live targets within two
-	// seconds.
-	lapseGrace = 2200 * time.Millisecond
-
 	connectBackoff    = 100 * time.Millisecond // after a failed connection; doubles with each further failure
 	maxConnectBackoff = 500 * time.Millisecond
 	// connsUsedPercent is the share of a target's connections, in percent, that
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -9,7 +9,6 @@
 
 	"github.com/anvilfork/anvilfork/core/catalog"
 	"github.com/anvilfork/anvilfork/core/mesh"
-	"github.com/anvilfork/anvilfork/core/mirror"
 	"github.com/anvilfork/anvilfork/core/serve"
 )
 
@@ -82,13 +81,16 @@
 	case mesh.ReadStore:
 		go t.readStore(ctx, a)
 	case mesh.EntriesChanged:
-		t.applyEntries(ctx, a.Entries)
+		t.applyEntries(ctx, a)
 	case mesh.ViewChanged:
 		t.applyView(a.View)
 	case mesh.StoreLost:
 		t.log.Warn().Str("event", "store_lost").Int("failures", a.Failures).Msg("the platform's store does not answer")
 	case mesh.StoreRecovered:
 		t.log.Info().Str("event", "store_regained").Msg("the platform's store answers again")
+	case mesh.OutageEnded:
+		t.log.Warn().Str("event", "store_outage_ended").Int64("copy_age_ms", a.CopyAge.Milliseconds()).
+			Msg("no VM could read the platform's store; entries that are missing may have lapsed")
 	case mesh.PeerLost:
 		t.log.Warn().Str("event", "vm_lost").Str("vm", string(a.Node.ID)).Str("zone", a.Node.Zone).
 			Int64("silent_ms", a.UnresponsiveFor.Milliseconds()).Msg("a VM is not in touch any more")
@@ -117,7 +119,7 @@
 		return
 	}
 	go func() {
-		err := t.peers.forward(ctx, a.To.Peer, a.Delta.After, update)
+		err := t.peers.forward(ctx, a.To.Peer, a.Delta, update)
 		if err != nil {
 			t.log.Debug().Err(err).Str("event", "news_not_taken").Str("vm", string(a.To.ID)).Uint64("after", a.Delta.After).Msg("a change of the store could not be forwarded to another VM")
 			t.send(ctx, mesh.ForwardFailed(a))
@@ -169,20 +171,20 @@
 // applyEntries decodes the changed entries of the store, and sends the resulting
 // catalog to the engine task and the limits for callers to the front task. An entry
 // that can't be decoded is logged.
-func (t *controlTask) applyEntries(ctx context.Context, entries []mirror.Entry) {
-	for _, e := range entries {
+func (t *controlTask) applyEntries(ctx context.Context, changed mesh.EntriesChanged) {
+	for _, e := range changed.Entries {
 		change, err := t.store.Decode(e)
 		if err != nil {
 			t.log.Warn().Err(err).Str("event", "entry_unreadable").Str("key", e.Key).Uint64("revision", e.Revision).
 				Msg("an entry of the platform's store can't be read")
 		}
 		if change != nil {
-			t.builder.Apply(change)
+			t.builder.Apply(change, changed.LapseEnd)
 			t.logChange(change, e.Revision)
 		}
 	}
 	snapshot := t.builder.Snapshot()
-	t.engine <- engineMsg{event: serve.CatalogChanged{Config: snapshot.Config, Targets: snapshot.Targets, ZonesOut: snapshot.ZonesOut}}
+	t.engine <- engineMsg{event: serve.CatalogChanged{Config: snapshot.Config, Targets: snapshot.Targets, Lapsed: snapshot.Lapsed, ZonesOut: snapshot.ZonesOut}}
 	if snapshot.Config != nil {
 		t.limits <- snapshot.Config.Limits
 		t.step(ctx, mesh.SetMaxActive{VMs: mesh.MaxActiveFor(snapshot.Config.MinShardConnections())})
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -48,12 +48,11 @@
 	return decodeReply(reply)
 }
 
-// forward makes one call with an encoded change of the store that follows the
-// revision after.
-func (c *peerClient) forward(ctx context.Context, address string, after uint64, update []byte) error {
+// forward makes one call with a change of the store, whose update is encoded.
+func (c *peerClient) forward(ctx context.Context, address string, d mesh.Delta, update []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	_, err := peer.NewMeshProtobufClient("http://"+address, c.http).Tell(ctx, &peer.MeshNews{After: after, Update: update})
+	_, err := peer.NewMeshProtobufClient("http://"+address, c.http).Tell(ctx, &peer.MeshNews{After: d.After, Update: update, RegainedAgeUs: encodeAge(d.RegainedAge)})
 	return err
 }
 
@@ -90,7 +89,7 @@
 		return nil, twirp.InvalidArgumentError("update", err.Error())
 	}
 	select {
-	case s.control <- mesh.Delta{After: n.GetAfter(), Update: u}:
+	case s.control <- mesh.Delta{After: n.GetAfter(), Update: u, RegainedAge: decodeAge(n.GetRegainedAgeUs())}:
 		return &peer.MeshNewsTaken{}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -23,14 +23,16 @@
 func encodeNode(n mesh.Node) *peer.MeshNode {
 	return &peer.MeshNode{
 		Id: string(n.ID), Peer: n.Peer, Front: n.Front, Zone: n.Zone, Region: n.Region,
-		StartedUnixMs: n.StartedUnixMs, Phase: uint32(n.Phase), Power: n.Power, StoreDenied: n.StoreDenied, Edition: n.Edition,
+		StartedUnixMs: n.StartedUnixMs, Phase: uint32(n.Phase), Power: n.Power, StoreDenied: n.StoreDenied,
+		StoreFailing: n.StoreFailing, Edition: n.Edition,
 	}
 }
 
 func decodeNode(n *peer.MeshNode) mesh.Node {
 	return mesh.Node{
 		ID: fleet.VMID(n.GetId()), Peer: n.GetPeer(), Front: n.GetFront(), Zone: n.GetZone(), Region: n.GetRegion(),
-		StartedUnixMs: n.GetStartedUnixMs(), Phase: mesh.Phase(n.GetPhase()), Power: n.GetPower(), StoreDenied: n.GetStoreDenied(), Edition: n.GetEdition(),
+		StartedUnixMs: n.GetStartedUnixMs(), Phase: mesh.Phase(n.GetPhase()), Power: n.GetPower(), StoreDenied: n.GetStoreDenied(),
+		StoreFailing: n.GetStoreFailing(), Edition: n.GetEdition(),
 	}
 }
 
@@ -131,7 +133,7 @@
 // that.
 func (e *replyEncoder) encode(r *mesh.HeartbeatReply, readsPacked bool) (*peer.MeshReply, error) {
 	m := &peer.MeshReply{
-		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull, Fleet: uint32(r.FleetSize),
+		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), RegainedAgeUs: encodeAge(r.RegainedAge), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull, Fleet: uint32(r.FleetSize),
 		Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand), Blocked: r.Blocked,
 		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
 	}
@@ -240,7 +242,8 @@
 		m.Nodes, m.Gone = members.GetNodes(), members.GetGone()
 	}
 	r := &mesh.HeartbeatReply{
-		From: decodeNode(m.GetFrom()), CopyAge: time.Duration(m.GetAgeUs()) * time.Microsecond, NodesSeq: m.GetNodesSeq(),
+		From: decodeNode(m.GetFrom()), CopyAge: time.Duration(m.GetAgeUs()) * time.Microsecond,
+		RegainedAge: decodeAge(m.GetRegainedAgeUs()), NodesSeq: m.GetNodesSeq(),
 		NodesFull: m.GetNodesWhole(), FleetSize: int(m.GetFleet()), FleetDemand: decodeOffered(m.GetTotals()), Blocked: m.GetBlocked(),
 		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
 	}
@@ -256,6 +259,17 @@
 	return r, err
 }
 
+// encodeAge returns an age in microseconds. One that is set stays above zero.
+func encodeAge(age time.Duration) int64 {
+	if age <= 0 {
+		return 0
+	}
+	return max(age.Microseconds(), 1)
+}
+
+// decodeAge returns an age in microseconds as a duration, zero if it is not set.
+func decodeAge(us int64) time.Duration { return time.Duration(max(us, 0)) * time.Microsecond }
+
 func encodeUpdate(u *mirror.Update) *peer.MeshUpdate {
 	m := &peer.MeshUpdate{Complete: u.Full, AsOf: u.Revision}
 	for _, e := range u.Entries {
