Let a request hold the bucket that it was charged to

Cause: a request that ends as not run gives its token back through the state of its workspace, whose bucket the new version had set to nil. The wait for the pool of rates had the same fault. Evidence: the panics are in Bucket.Return, called by Engine.finish.

Change: a request holds a charge with the bucket itself. Only workspaceState asks whether a limit is in force. A request that waits for the pool of a workspace whose limit is lifted is admitted.

--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -197,11 +197,11 @@
 		return nil
 	}
 	ws := e.workspaces[q.workspace.Name]
-	if ws == nil || ws.bucket == nil {
+	if ws == nil {
 		return nil
 	}
-	if ws.bucket.Take(now) == 0 {
-		q.chargedTo = ws
+	var charged bool
+	if q.charge, charged = ws.take(now); charged {
 		return nil
 	}
 	if admitted, waiting := e.askPool(now, q, ws); admitted || waiting {
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -233,12 +233,3 @@
 	}
 	return r
 }
-
-// workspaceState holds the quota and the demand of a workspace on this VM.
-type workspaceState struct {
-	bucket     *quota.Bucket // nil if the workspace has no rate limit
-	needsFill  bool          // the bucket is new and gets its initial fill with its first limit
-	fleetLimit quota.Limit   // limit of all VMs together
-	demand     rateMeter
-	pool       workspacePool
-}
--- a/core/serve/pool.go
+++ b/core/serve/pool.go
@@ -146,8 +146,8 @@
 	ws := q.awaitsPool
 	e.stopAwaitingPool(q)
 	switch {
-	case ev.Granted:
-		q.fromPool = true
+	case ev.Granted, !ws.isLimited(): // a new configuration may have lifted the limit
+		q.fromPool = ev.Granted
 		e.startQuery(now, q)
 		return
 	case ev.Failed:
@@ -168,15 +168,14 @@
 
 // refuseOverRate returns the refusal of a query whose workspace is over its rate.
 func (e *Engine) refuseOverRate(now time.Time, q *query, ws *workspaceState) *Answer {
-	wait := max(ws.bucket.TimeUntil(now, 1), 1)
-	return refusal(outcome.CodeRateExceeded, addJitter(wait, q.request.Fingerprint), "workspace %q is over its rate", q.workspace.Name)
+	return refusal(outcome.CodeRateExceeded, addJitter(ws.wait(now), q.request.Fingerprint), "workspace %q is over its rate", q.workspace.Name)
 }
 
 // poolRequested answers another VM's request to the pool of this one. A VM that is
 // not the reader grants nothing: there must be one pool only.
 func (e *Engine) poolRequested(now time.Time, ev PoolRequested) {
 	ws := e.workspaces[ev.Workspace]
-	if ws == nil || ws.bucket == nil || !e.view.Reader {
+	if ws == nil || !ws.isLimited() || !e.view.Reader {
 		e.emit(AnswerPool{Ticket: ev.Ticket, Wait: poolBackoff})
 		return
 	}
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -20,7 +20,7 @@
 	route         *catalog.Route
 	workspace     *catalog.Workspace // nil on public routes and on work that another VM relayed
 	workspaceName string             // name of the workspace; empty on public routes
-	chargedTo     *workspaceState    // workspace whose quota was charged; nil if none was
+	charge        charge             // taken from the quota of the workspace
 	fromPool      bool               // admitted by the pool of its workspace
 	awaitsPool    *workspaceState    // set while the query waits for the pool of the workspace
 	priority      int
@@ -213,8 +213,8 @@
 func (e *Engine) finish(now time.Time, q *query, a *Answer) {
 	endedEarly := a.Merged != nil && q.openSubRequests() > 0
 	e.removeQuery(now, q, lingerTime)
-	if a.Refusal != nil && a.Refusal.Outcome == outcome.NotRun && q.chargedTo != nil {
-		q.chargedTo.bucket.Return()
+	if a.Refusal != nil && a.Refusal.Outcome == outcome.NotRun {
+		q.charge.refund()
 	}
 	a.Trace.EndedEarly = endedEarly
 	e.respond(now, q, a)
--- a/core/serve/quota.go
+++ b/core/serve/quota.go
@@ -71,7 +71,7 @@
 		ws.pool.setLimit(now, e.settings.Quota.PoolLimit(limit))
 		switch {
 		case w.RatePerSecond <= 0:
-			ws.bucket = nil
+			ws.bucket = nil // queries that were charged keep theirs
 		case ws.bucket == nil:
 			ws.bucket, ws.needsFill = quota.NewBucket(now), true
 		}
@@ -81,6 +81,50 @@
 	e.divideQuotas(now)
 }
 
+// workspaceState holds the quota and the demand of a workspace on this VM.
+type workspaceState struct {
+	bucket     *quota.Bucket // nil while the workspace has no rate limit
+	needsFill  bool          // the bucket is new and gets its initial fill with its first limit
+	fleetLimit quota.Limit   // limit of all VMs together
+	demand     rateMeter
+	pool       workspacePool
+}
+
+// charge is what a query has taken from the quota of its workspace. It holds the bucket
+// that it was taken from, which a later configuration may have replaced or dropped. The
+// zero value has taken nothing.
+type charge struct{ bucket *quota.Bucket }
+
+// refund gives the quota back, once.
+func (c *charge) refund() {
+	if c.bucket != nil {
+		c.bucket.Return()
+		c.bucket = nil
+	}
+}
+
+// isLimited reports whether the workspace has a rate limit now.
+func (ws *workspaceState) isLimited() bool { return ws.bucket != nil }
+
+// take charges one request. It returns false if none is left on this VM.
+func (ws *workspaceState) take(now time.Time) (charge, bool) {
+	if !ws.isLimited() {
+		return charge{}, true
+	}
+	if ws.bucket.Take(now) > 0 {
+		return charge{}, false
+	}
+	return charge{bucket: ws.bucket}, true
+}
+
+// wait returns how long it takes until this VM can charge a request, above zero.
+func (ws *workspaceState) wait(now time.Time) time.Duration {
+	if !ws.isLimited() {
+		return 1
+	}
+	return max(ws.bucket.TimeUntil(now, 1), 1)
+}
+
 // divideQuotas sets this VM's share of every workspace's limit. There is none
 // until the number of VMs that share the limits is known.
 func (e *Engine) divideQuotas(now time.Time) {
@@ -88,7 +132,7 @@
 		return
 	}
 	for name, ws := range e.workspaces {
-		if ws.bucket == nil {
+		if !ws.isLimited() {
 			continue
 		}
 		d := e.view.Demand[name]
