Run a request as the workspace that holds its key now

Cause: before each attempt the name of the key's holder was compared with that of the admission, and another name counted as a withdrawn key. Evidence: all answers say that the key was withdrawn, and the version in force held it.

Change: one rule says who holds a key on a route, at the admission and before each attempt. A request runs as that workspace. A renamed workspace keeps its bucket; a key that moves to another workspace has its waiting requests charged there. A configuration without workspaces, and a route that has become public, refuse none.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -5,6 +5,8 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 )
@@ -154,6 +156,31 @@
 // WorkspaceByKey returns the workspace that holds a key, nil for an unknown key.
 func (c *Config) WorkspaceByKey(key string) *Workspace { return c.byKey[key] }
 
+// Renamed returns the workspaces that have another name than in an earlier
+// configuration: earlier names by new ones. A workspace was renamed if it holds a key of
+// one whose name c no longer has, and its own name is new.
+func (c *Config) Renamed(earlier *Config) map[string]string {
+	type rename struct{ from, to string }
+	var renames []rename
+	for key, w := range c.byKey {
+		if old := earlier.byKey[key]; old != nil && !c.hasWorkspace(old.Name) && !earlier.hasWorkspace(w.Name) {
+			renames = append(renames, rename{from: old.Name, to: w.Name})
+		}
+	}
+	slices.SortFunc(renames, func(a, b rename) int { return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.to, b.to)) })
+	names, used := make(map[string]string), make(map[string]bool)
+	for _, r := range renames { // of a workspace that was split, one part stands for it
+		if _, taken := names[r.to]; !taken && !used[r.from] {
+			names[r.to], used[r.from] = r.from, true
+		}
+	}
+	return names
+}
+
+func (c *Config) hasWorkspace(name string) bool {
+	return slices.ContainsFunc(c.workspaces, func(w *Workspace) bool { return w.Name == name })
+}
+
 // MinShardConnections returns the minimum number of connections that a target of a
 // fan-out accepts; zero when there is no fan-out, or none with such a limit.
 func (c *Config) MinShardConnections() int {
--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -67,6 +67,10 @@
 
 // startQuery starts the sub-requests of an admitted query.
 func (e *Engine) startQuery(now time.Time, q *query) {
+	if a := e.reauthorize(now, q); a != nil { // it may have waited for the pool
+		e.finish(now, q, a)
+		return
+	}
 	e.relayFarShards(now, q)
 	for _, sub := range q.subRequests {
 		sub.service.budget.Earn()
@@ -90,7 +94,7 @@
 	if q.route == nil {
 		return e.refuseUnknown(q, outcome.CodeUnknownRoute, "no route matches host %q and path %q", r.Host, r.Path)
 	}
-	if a := e.identifyWorkspace(now, q); a != nil {
+	if a := e.authorize(now, q); a != nil {
 		return a
 	}
 	if e.view.Blocked[r.Fingerprint] || e.crashes.blocked(now, r.Fingerprint) {
@@ -114,30 +118,6 @@
 	return refusal(code, 0, reason, args...)
 }
 
-// identifyWorkspace sets the workspace that holds the request's key, and the
-// priority. It returns the refusal if there is none.
-func (e *Engine) identifyWorkspace(now time.Time, q *query) *Answer {
-	q.priority = q.route.Priority
-	if q.route.Public || !q.config.HasWorkspaces() {
-		return nil
-	}
-	if q.copyAge > e.settings.MaxKeyCopyAge {
-		return refusal(outcome.CodeFenced, retryAfterNotReady, "keys can't be checked: the copy of the configuration is %v old", q.copyAge.Round(time.Millisecond))
-	}
-	q.workspace = q.config.WorkspaceByKey(q.request.Key)
-	if q.workspace == nil {
-		return e.refuseUnknown(q, outcome.CodeUnauthorized, "no workspace holds the key")
-	}
-	q.workspaceName = q.workspace.Name
-	if q.workspace.HasPriority {
-		q.priority = q.workspace.Priority
-	}
-	if ws := e.workspaces[q.workspace.Name]; ws != nil {
-		ws.demand.add(now)
-	}
-	return nil
-}
-
 // setDeadlines sets the deadline and the objective of a query. A caller that
 // retries within its deadline sends a shorter timeout than before, so the
 // difference to the longest timeout seen on the route counts as time already
@@ -190,26 +170,6 @@
 	return min(lagFactor*l.estimate, objective*maxLagPercent/100)
 }
 
-// chargeQuota takes one request from the quota of its workspace, and returns
-// the refusal if none is left. It may leave the query waiting for the pool.
-func (e *Engine) chargeQuota(now time.Time, q *query) *Answer {
-	if q.workspace == nil {
-		return nil
-	}
-	ws := e.workspaces[q.workspace.Name]
-	if ws == nil {
-		return nil
-	}
-	var charged bool
-	if q.charge, charged = ws.take(now); charged {
-		return nil
-	}
-	if admitted, waiting := e.askPool(now, q, ws); admitted || waiting {
-		return nil
-	}
-	return e.refuseOverRate(now, q, ws)
-}
-
 // addSubRequests adds a sub-request for each shard of a fan-out, or a single
 // one for the service of the route.
 func (e *Engine) addSubRequests(q *query) {
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/anvilfork/anvilfork/core/outcome"
 )
 
 const (
@@ -52,10 +50,10 @@
 }
 
 // startAttempt sends a sub-request to a target on an idle connection. It ends
-// the query instead if its key was withdrawn.
+// the query instead if its caller is no longer authorized.
 func (e *Engine) startAttempt(now time.Time, sub *subRequest, t *target, hedge bool) {
 	q := sub.query
-	if a := e.refuseWithdrawnKey(now, q); a != nil {
+	if a := e.reauthorize(now, q); a != nil {
 		e.finish(now, q, a)
 		return
 	}
@@ -88,28 +86,6 @@
 	return max(e.route(q.route.Name).latency.P90, minHedgeWait, q.objective.Sub(now)*hedgeAfterPercent/100)
 }
 
-// refuseWithdrawnKey returns a refusal if the query's key was withdrawn after
-// the admission, or if the copy of the store is too old to tell. It returns nil
-// while the key is valid.
-func (e *Engine) refuseWithdrawnKey(now time.Time, q *query) *Answer {
-	if q.workspace == nil {
-		return nil
-	}
-	fresh := e.copyAge(now) <= e.settings.MaxKeyCopyAge
-	holder := e.config.WorkspaceByKey(q.request.Key)
-	if fresh && holder != nil && holder.Name == q.workspace.Name {
-		return nil
-	}
-	o := outcome.NotRun
-	if q.mayHaveRun() {
-		o = outcome.Unknown
-	}
-	if !fresh {
-		return &Answer{Refusal: outcome.New(outcome.CodeFenced, o, "the key can't be checked any more")}
-	}
-	return &Answer{Refusal: outcome.New(outcome.CodeUnauthorized, o, "the key was withdrawn")}
-}
-
 // attemptDone handles the end of an attempt: it frees its slot and connection,
 // updates the target's statistics and completes, retries or fails its
 // sub-request.
--- a/core/serve/publish.go
+++ b/core/serve/publish.go
@@ -11,12 +11,13 @@
 // the zones that are out of service.
 func (e *Engine) catalogChanged(now time.Time, ev CatalogChanged) {
 	if ev.Config != nil && ev.Config != e.config {
+		earlier := e.config
 		e.config = ev.Config
 		for name, s := range e.services {
 			s.config = ev.Config.Services[name]
 			s.routed, s.isShard = ev.Config.IsRouted(name), ev.Config.IsShard(name)
 		}
-		e.setWorkspaces(now, ev.Config)
+		e.setWorkspaces(now, ev.Config, earlier)
 		e.removeStaleState()
 		e.emit(LogEvent{Event: LogConfigApplied, Count: int(ev.Config.Version)})
 	}
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -18,9 +18,10 @@
 	seq           uint64
 	config        *catalog.Config
 	route         *catalog.Route
-	workspace     *catalog.Workspace // nil on public routes and on work that another VM relayed
-	workspaceName string             // name of the workspace; empty on public routes
-	charge        charge             // taken from the quota of the workspace
+	workspace     *catalog.Workspace // last known holder of the key; nil on public routes and on work that another VM relayed
+	workspaceName string             // workspace as which the query runs; empty if no key is needed
+	charge        charge             // taken from the quota of chargedTo
+	chargedTo     *workspaceState    // nil if there is no workspace
 	fromPool      bool               // admitted by the pool of its workspace
 	awaitsPool    *workspaceState    // set while the query waits for the pool of the workspace
 	priority      int
--- a/core/serve/quota.go
+++ b/core/serve/quota.go
@@ -56,12 +56,20 @@
 	return r.count / r.window.Seconds()
 }
 
-// setWorkspaces applies the workspaces of a configuration and keeps the state
-// of those that existed before.
-func (e *Engine) setWorkspaces(now time.Time, c *catalog.Config) {
+// setWorkspaces applies the workspaces of a configuration that follows earlier, which is
+// nil for the first one. It keeps the state of those that existed before, also under
+// another name.
+func (e *Engine) setWorkspaces(now time.Time, c, earlier *catalog.Config) {
 	kept := make(map[string]*workspaceState)
+	renamed := map[string]string{}
+	if earlier != nil {
+		renamed = c.Renamed(earlier)
+	}
 	for _, w := range c.Workspaces() {
 		ws := e.workspaces[w.Name]
+		if before, ok := renamed[w.Name]; ok {
+			ws = e.workspaces[before]
+		}
 		if ws == nil {
 			ws = &workspaceState{}
 		}
