Answer every request before a stopping process ends

In a planned stop requests were sent to targets shortly before the end of the grace and cut there, and others waited for a target and got no answer.

Cause: the engine did not know that its VM stops; it admitted, queued, retried and hedged until the process closed the connections. Evidence: the cut requests were queued when SIGTERM came; the targets went on working.

Change: the engine gets the time by which all answers must be out. Deadlines end there, nothing is sent that can't be expected to be answered by then, and new requests that can't be served are refused at once, as not run. Servers of earlier limits are shut down beside the current one, not before it.

--- a/core/latency/latency.go
+++ b/core/latency/latency.go
@@ -73,5 +73,8 @@
 	}
 }
 
+// IsMeasured reports whether the quantiles are those of samples.
+func (l *Estimate) IsMeasured() bool { return l.older.TotalCount() >= minSamples }
+
 // meanSamples is the number of samples over which Mean is averaged.
 const meanSamples = 32
--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -102,6 +102,9 @@
 	}
 	e.setDeadlines(now, q)
 	e.addSubRequests(q)
+	if a := e.refuseBeforeStop(now, q); a != nil {
+		return a
+	}
 	if a := e.refuseUnservable(now, q); a != nil {
 		return a
 	}
@@ -130,7 +133,7 @@
 	}
 	state.maxTimeout = max(state.maxTimeout, timeout.Truncate(time.Millisecond))
 	waited := max(min(max(state.maxTimeout, e.view.Timeouts[q.route.Name]), q.route.Timeout)-timeout, 0)
-	q.deadline = q.arrived.Add(timeout - deadlineMargin)
+	q.deadline = e.untilStop(q.arrived.Add(timeout - deadlineMargin))
 	q.objective = q.arrived.Add(q.route.Objective - waited - objectiveMargin - e.deliveryLag.allowance(q.route.Objective))
 }
 
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -30,8 +30,13 @@
 )
 
 // startOrQueue starts a sub-request on the best free target, or queues it until
-// one is free. It fails the sub-request if the service has no target.
+// one is free. It fails the sub-request if the service has no target, or if this
+// process ends before it can be served.
 func (e *Engine) startOrQueue(now time.Time, sub *subRequest) {
+	if e.tooLateToStart(now, sub.query, 0) {
+		e.failSubRequest(now, sub)
+		return
+	}
 	if len(sub.service.queue) == 0 {
 		if t := e.pickTarget(now, sub, false); t != nil {
 			e.startAttempt(now, sub, t, false)
@@ -268,6 +273,8 @@
 		return "too many targets refused it"
 	case !now.Before(q.deadline):
 		return "no time is left"
+	case e.tooLateToStart(now, q, 0):
+		return "this VM stops before it could be served"
 	case kind != NotWritten && !sub.service.budget.TakeRetry():
 		return "the retry budget of the service is spent"
 	}
@@ -288,6 +295,9 @@
 		if sub.pending() != 1 || sub.hedged || sub.possibleRuns+sub.pending() >= q.route.MaxAttempts {
 			continue
 		}
+		if e.tooLateToStart(now, q, 0) {
+			continue
+		}
 		t := e.pickTarget(now, sub, true)
 		if t == nil || !sub.service.budget.TakeHedge() {
 			sub.hedgeAt = now.Add(max(e.route(q.route.Name).latency.P50/hedgeRecheckDivisor, minHedgeWait))
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -59,6 +59,7 @@
 	querySeq   uint64
 	reportAt   time.Time // of the next Report
 	maintainAt time.Time // of the next periodic upkeep
+	answerBy   time.Time // when the process ends; zero while it does not stop
 	actions    []Action
 }
 
@@ -120,6 +121,8 @@
 		e.poolReplied(now, ev)
 	case PoolRequested:
 		e.poolRequested(now, ev)
+	case Stopping:
+		e.stop(now, ev)
 	case Delivered:
 		e.deliveryLag.record(ev.Lag)
 	case Tick:
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -106,6 +106,8 @@
 		e.finish(now, q, q.successAnswer())
 	case q.answered+q.openSubRequests() < q.minAnswered:
 		e.finish(now, q, q.failureAnswer(now))
+	case !now.Before(q.deadline) && q.deadline.Equal(e.answerBy):
+		e.finish(now, q, e.stoppingAnswer(q))
 	case !now.Before(q.deadline):
 		e.finish(now, q, q.expiredAnswer())
 	default:
@@ -186,6 +188,9 @@
 		return &Answer{Response: q.subRequests[0].response} // the target answered with an error status
 	}
 	if !q.mayHaveRun() {
+		if q.engine.tooLateToStart(now, q, 0) {
+			return q.engine.stoppingAnswer(q)
+		}
 		after := minRetryAfter
 		for _, sub := range q.subRequests {
 			if sub.done && !sub.succeeded() {
--- a/core/serve/relayed.go
+++ b/core/serve/relayed.go
@@ -21,7 +21,7 @@
 func (e *Engine) relayRequested(now time.Time, w *RelayedWork) {
 	q := &query{
 		engine: e, request: w.Request, arrived: now, config: e.config, copyAge: e.copyAge(now),
-		workspaceName: w.Workspace, priority: w.Priority, deadline: now.Add(w.TimeLeft), objective: now.Add(w.TimeLeft),
+		workspaceName: w.Workspace, priority: w.Priority, deadline: e.untilStop(now.Add(w.TimeLeft)), objective: now.Add(w.TimeLeft),
 		route:  &catalog.Route{Name: w.Route, Idempotent: true, MaxAttempts: 1, FanOut: &catalog.FanOut{Shards: w.Shards, TopK: w.TopK}},
 		remote: &remoteState{work: w, replyAt: now.Add(w.ReplyTimeout), reported: make([]bool, len(w.Shards))},
 	}
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -88,6 +88,10 @@
 			return
 		}
 		sub := s.queue[i]
+		if e.tooLateToStart(now, sub.query, 0) { // failQueued ends it
+			i++
+			continue
+		}
 		t := e.pickTarget(now, sub, false)
 		if t == nil {
 			i++
@@ -153,14 +157,14 @@
 }
 
 // failQueued fails the queued sub-requests of a service that has no target, and
-// those whose deadline passes before a target takes requests again.
+// those whose deadline, or this process, ends before a target can have served them.
 func (e *Engine) failQueued(now time.Time, s *service) {
 	if len(s.queue) == 0 {
 		return
 	}
 	canServe, openAt := e.canServe(now, s), now.Add(s.backoffLeft(now))
 	for _, sub := range slices.Clone(s.queue) {
-		if canServe && !openAt.After(sub.query.deadline) {
+		if canServe && !openAt.After(sub.query.deadline) && !e.tooLateToStart(now, sub.query, 0) {
 			continue
 		}
 		e.failSubRequest(now, sub)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -62,12 +62,20 @@
 }
 
 // shutdown waits until all servers have answered their requests in flight, for at
-// most timeout.
+// most timeout. All of them close their idle connections at once.
 func (f *front) shutdown(servers []*limitedServer, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	ended := make(chan error, len(servers))
 	for _, s := range servers {
-		if err := s.http.Shutdown(ctx); err != nil {
+		go func() {
+			err := s.http.Shutdown(ctx)
+			s.closeWaiting()
+			ended <- err
+		}()
+	}
+	for range servers {
+		if err := <-ended; err != nil {
 			f.log.Warn().Err(err).Str("event", "requests_cut").Int64("waited_ms", timeout.Milliseconds()).Msg("requests were in flight when the VM stopped")
 		}
 	}
@@ -150,6 +158,18 @@
 	return nil
 }
 
+// closeWaiting closes the connections that the server has not accepted before its end.
+func (s *limitedServer) closeWaiting() {
+	for {
+		select {
+		case c := <-s.conns:
+			_ = c.Close() // nothing was read from it
+		default:
+			return
+		}
+	}
+}
+
 // Addr implements net.Listener.
 func (s *limitedServer) Addr() net.Addr { return s.addr }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilfork/anvilfork/core/catalog"
 	"github.com/anvilfork/anvilfork/core/mesh"
+	"github.com/anvilfork/anvilfork/core/serve"
 	"github.com/anvilfork/anvilfork/metrics"
 	"github.com/anvilfork/anvilfork/rpc/peer"
 )
@@ -23,6 +24,9 @@
 	// exitMargin is what is left of the stop grace when the process gives up waiting
 	// for requests in flight.
 	exitMargin = 300 * time.Millisecond
+	// answerMargin is what is left then of the time for the requests in flight when the
+	// last of them are answered: their answers have to leave.
+	answerMargin = 200 * time.Millisecond
 	// internalHeaderTimeout bounds reading the headers of a request to the
 	// directory, readiness, peer and metrics interfaces, to which the configured
 	// limits for callers do not apply.
@@ -32,8 +36,10 @@
 // Gateway runs the tasks and interfaces of one VM.
 type Gateway struct {
 	settings  Settings
+	clock     clock
 	log       zerolog.Logger
 	control   *controlTask
+	engine    chan<- engineMsg
 	front     *front
 	servers   []*http.Server
 	done      chan struct{} // closed to end the tasks
@@ -48,7 +54,7 @@
 	}
 	c := newClock()
 	m := metrics.New(c.now())
-	g := &Gateway{settings: s, log: log, done: make(chan struct{}), frontDone: make(chan struct{})}
+	g := &Gateway{settings: s, clock: c, log: log, done: make(chan struct{}), frontDone: make(chan struct{})}
 	listener, err := net.Listen("tcp4", s.FrontAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen on the address for callers")
@@ -57,6 +63,7 @@
 	memory := newMemoryTask(c, s.MemoryBytes)
 	engine := newEngineTask(c, &s, p.Targets, log, m)
 	engine.control, engine.memory = inbox, memory.inbox
+	g.engine = engine.inbox
 	engine.relayClient = newRelayClient(p.Callers)
 	engine.poolClient = newPeerClient(idlePoolConns)
 	g.front = &front{
@@ -139,10 +146,12 @@
 }
 
 // Stop makes the VM leave the fleet. Callers are sent to other VMs while this one
-// still serves requests for lameDuckPercent of the grace; then Stop waits for the
-// requests in flight and ends the tasks.
+// still accepts connections for lameDuckPercent of the grace; then Stop waits for the
+// requests in flight and ends the tasks. From its start requests are refused that can't
+// be expected to be served in the grace, and all others are answered within it.
 func (g *Gateway) Stop() {
 	start := time.Now()
+	g.engine <- engineMsg{event: serve.Stopping{AnswerBy: g.clock.now().Add(g.settings.StopGrace - exitMargin - answerMargin)}}
 	g.log.Info().Str("event", "stopping").Int64("grace_ms", g.settings.StopGrace.Milliseconds()).Msg("VM is stopping")
 	g.control.inbox <- mesh.Stopping{}
 	close(g.front.stopping)
