Keep SIGTERM while settings are reloaded

A SIGTERM that followed two SIGHUPs within one reload found the channel of signals full and was dropped, so that the process served on until it was killed.

Change: reloads and stops have channels of their own.

Result: seen by reading only; no run shows the loss or its end. The tests of cmd/anvilforkd pass.

--- a/cmd/anvilforkd/platform.go
+++ b/cmd/anvilforkd/platform.go
@@ -38,21 +38,24 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// A signal that finds its channel full is dropped: reloads may not keep a stop out.
+	stop, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hup, syscall.SIGHUP)
 	g, err := gateway.Start(settings.Gateway, platform.New(settings.StoreAddress), log)
 	if err != nil {
 		log.Error().Err(err).Str("event", "start_failed").Msg("VM could not start")
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	for {
+		select {
+		case <-hup:
+			reload(g, log)
+		case <-stop:
+			g.Stop()
+			return nil
 		}
-		reload(g, log)
 	}
-	g.Stop()
-	return nil
 }
 
 // reload reads the settings again and applies them. If they cannot be used, the
