Never answer 200 without an answer; refuse bodies without memory at once

Cause: when the memory for bodies ran out, the VM set the read deadline of the slowest connection to the past. If the body had just arrived, net/http's watch of the connection failed by it and cancelled the request; the handler took the caller for gone and returned, and net/http answered 200 by itself. A body that had not arrived was answered 400.

Change: a handler without an answer aborts the connection. A request that this VM has interrupted is served without the watch. Lost and late bodies are refused as not run. The memory of a body of known length is reserved before it is read, and a body keeps it while its caller's time lasts. An ended message gets no memory again, and a target's connection loses the deadline that ended an answer.

--- a/core/bytebudget/bytebudget.go
+++ b/core/bytebudget/bytebudget.go
@@ -13,9 +13,10 @@
 // Holder identifies a message that is read from or written to a connection.
 type Holder uint64
 
-// slowAfter is the time after which a holder counts as slow and may be ended for
-// another one. Messages of peers that keep up take milliseconds.
-const slowAfter = time.Second
+// minPatience is the time after which a holder counts as slow and may be ended for
+// another one, unless it may take longer. Messages of peers that keep up take
+// milliseconds.
+const minPatience = time.Second
 
 // Budget is the memory that all holders together may use. It is not safe for
 // concurrent use.
@@ -26,8 +27,9 @@
 }
 
 type holding struct {
-	bytes int64
-	since time.Time
+	bytes  int64
+	since  time.Time
+	slowAt time.Time // when it counts as slow
 }
 
 // New returns a Budget of limit bytes.
@@ -40,8 +42,9 @@
 
 // Reserve raises the memory of a holder to total bytes. It returns false, and
 // changes nothing, if that much is not left even without the slow holders. Those
-// that it returns have lost their memory and are to be ended.
-func (b *Budget) Reserve(now time.Time, h Holder, total int64) (ended []Holder, granted bool) {
+// that it returns have lost their memory and are to be ended. patience is the time that
+// a new holder may take before it counts as slow, if that is more than a second.
+func (b *Budget) Reserve(now time.Time, h Holder, total int64, patience time.Duration) (ended []Holder, granted bool) {
 	held := b.holders[h]
 	more := total
 	if held != nil {
@@ -62,7 +65,7 @@
 		ended = append(ended, s)
 	}
 	if held == nil {
-		held = &holding{since: now}
+		held = &holding{since: now, slowAt: now.Add(max(patience, minPatience))}
 		b.holders[h] = held
 	}
 	held.bytes += more
@@ -82,7 +85,7 @@
 // that they hold.
 func (b *Budget) slowHolders(now time.Time, except Holder) (slow []Holder, bytes int64) {
 	for h, held := range b.holders {
-		if h != except && now.Sub(held.since) >= slowAfter {
+		if h != except && !now.Before(held.slowAt) {
 			slow = append(slow, h)
 			bytes += held.bytes
 		}
--- a/core/bytebudget/bytebudget_test.go
+++ b/core/bytebudget/bytebudget_test.go
@@ -15,7 +15,7 @@
 func TestSlowHoldersAreEndedFirst(t *testing.T) {
 	b := New(100)
 	reserve := func(at time.Duration, h Holder, total int64) ([]Holder, bool) {
-		return b.Reserve(epoch.Add(at), h, total)
+		return b.Reserve(epoch.Add(at), h, total, 0)
 	}
 	for h, at := range []time.Duration{100 * time.Millisecond, 0, 1500 * time.Millisecond} {
 		_, granted := reserve(at, Holder(h), 30)
@@ -45,7 +45,7 @@
 				delete(held, h)
 			} else {
 				total := rapid.Int64Range(1, 1500).Draw(t, "total")
-				ended, granted := b.Reserve(now, h, total)
+				ended, granted := b.Reserve(now, h, total, 0)
 				for _, e := range ended {
 					assert.Assert(t, e != h)
 					delete(held, e)
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -150,9 +150,12 @@
 			return
 		}
 		// A read deadline in the past ends the answer that is being read.
-		hold := &memoryHold{task: t.memory, done: ctx.Done(), end: func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }}
+		hold := newMemoryHold(t.memory, ctx.Done(), 0, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
 		done := t.codec.Read(&AnswerReader{Reader: br, Reserve: hold.reserve}, a)
 		hold.release()
+		if hold.wasEnded() { // the answer may have been read before
+			_ = conn.SetReadDeadline(time.Time{})
+		}
 		done.Attempt, done.Conn = a.Attempt, t.id
 		done.Reusable = done.Reusable && br.Buffered() == 0 && t.requestWritten()
 		t.report(ctx, done)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -183,7 +183,7 @@
 	}
 	received := f.clock.now()
 	conn := http.NewResponseController(w)
-	req, refusal := f.decode(conn, r, l)
+	req, refusal, interrupted := f.decode(conn, r, l)
 	if refusal != nil {
 		f.refuse(conn, w, r, req, refusal)
 		return
@@ -191,12 +191,19 @@
 	req.Received = received
 	answer := make(chan *serve.Answer, 1)
 	f.engine <- engineMsg{submitted: &submission{request: req, answer: answer}}
+	callerGone := r.Context().Done()
+	if interrupted { // by this VM: the context says nothing about the caller
+		callerGone = nil
+	}
 	select {
 	case a := <-answer:
 		f.encode(conn, w, req, a)
 		f.reportDelivery(a)
-	case <-r.Context().Done():
+	case <-callerGone:
 		f.engine <- engineMsg{callerGone: req}
+		// The server would answer 200 for a handler that returns without an answer, to
+		// a caller that has closed only its own direction.
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -212,20 +219,30 @@
 	}
 }
 
-// decode reads a request. Its body may hold memory and time only within limits,
-// since callers may send slowly.
-func (f *front) decode(conn *http.ResponseController, r *http.Request, l catalog.Limits) (*serve.Request, *outcome.Refusal) {
+// decode reads a request. Its body may hold memory and time only within limits, since
+// callers may send slowly. interrupted says that this VM has ended the reading of a body
+// that had arrived: the server then takes the caller for gone.
+func (f *front) decode(conn *http.ResponseController, r *http.Request, l catalog.Limits) (req *serve.Request, refusal *outcome.Refusal, interrupted bool) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return f.codec.Decode(r, l.MaxBodyBytes)
+		req, refusal = f.codec.Decode(r, l.MaxBodyBytes)
+		return req, refusal, false
 	}
 	// A connection that does not support deadlines is not limited in time.
 	_ = conn.SetWriteDeadline(time.Time{}) // of the previous answer on this connection
 	_ = conn.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
-	hold := &memoryHold{task: f.memory, done: f.done, end: func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }}
-	defer hold.release()
-	r.Body = &heldBody{ReadCloser: r.Body, hold: hold}
-	return f.codec.Decode(r, l.MaxBodyBytes)
+	hold := newMemoryHold(f.memory, f.done, min(f.codec.Timeout(r), bodyReadTimeout), func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
+	body := &heldBody{ReadCloser: r.Body, hold: hold}
+	read := *r // the server looks at the body of r when the request has ended
+	read.Body = body
+	if err := body.reserveAll(r.ContentLength, l.MaxBodyBytes); err != nil {
+		read.Body = failedBody{err}
+	}
+	req, refusal = f.codec.Decode(&read, l.MaxBodyBytes)
+	hold.release()
+	if refusal == nil {
+		_ = conn.SetReadDeadline(time.Time{})
+	}
+	return req, refusal, hold.wasEnded()
 }
 
 // encode writes an answer, for which the caller has callerWriteTimeout to read it.
@@ -246,5 +263,6 @@
 func (f *front) refuse(conn *http.ResponseController, w http.ResponseWriter, r *http.Request, req *serve.Request, refusal *outcome.Refusal) {
 	f.log.Info().Str("event", "request_refused").Str("caller", r.RemoteAddr).Str("code", string(refusal.Code)).
 		Str("outcome", string(refusal.Outcome)).Str("reason", refusal.Reason).Msg("request could not be read")
+	w.Header().Set("Connection", "close") // the rest of the body is not waited for
 	f.encode(conn, w, req, &serve.Answer{Refusal: refusal})
 }
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/anvilfork/anvilfork/core/bytebudget"
 )
@@ -35,10 +37,11 @@
 
 // memoryMsg asks for memory or, with zero bytes, gives it back.
 type memoryMsg struct {
-	holder  bytebudget.Holder // zero for a new one
-	total   int64
-	end     func() // ends the connection if its memory is needed for others; must not block
-	granted chan<- bytebudget.Holder
+	holder   bytebudget.Holder // zero for a new one
+	total    int64
+	patience time.Duration // how long a new holder may take
+	end      func()        // ends the reading if its memory is needed for others; must not block
+	granted  chan<- bytebudget.Holder
 }
 
 // newMemoryTask returns the task of a process that may use processBytes; zero
@@ -71,30 +74,56 @@
 		return
 	}
 	h := m.holder
-	if h == 0 {
+	switch {
+	case h == 0:
 		t.lastID++
 		h = t.lastID
+	case t.ends[h] == nil: // it was ended and has not noticed yet
+		m.granted <- 0
+		return
 	}
-	ended, granted := t.budget.Reserve(t.clock.now(), h, m.total)
+	ended, granted := t.budget.Reserve(t.clock.now(), h, m.total, m.patience)
 	for _, e := range ended {
 		t.ends[e]()
 		delete(t.ends, e)
 	}
 	if !granted {
-		h = 0
-	} else {
-		t.ends[h] = m.end
+		m.granted <- 0
+		return
 	}
+	t.ends[h] = m.end
 	m.granted <- h
 }
 
-// memoryHold is the memory of one message that is being read. Its zero value with
-// a task and an end function holds none.
+// memoryHold is the memory of one message that is being read. It holds none until the
+// first reserve.
 type memoryHold struct {
-	task   chan<- memoryMsg
-	done   <-chan struct{}
-	end    func()
-	holder bytebudget.Holder
+	task      chan<- memoryMsg
+	done      <-chan struct{}
+	patience  time.Duration // how long the message may take
+	interrupt func()        // ends the reading; must not block
+	ended     chan struct{} // closed when the memory was needed for others
+	holder    bytebudget.Holder
+}
+
+func newMemoryHold(task chan<- memoryMsg, done <-chan struct{}, patience time.Duration, interrupt func()) *memoryHold {
+	return &memoryHold{task: task, done: done, patience: patience, interrupt: interrupt, ended: make(chan struct{})}
+}
+
+// end is called by the memory task, at most once.
+func (h *memoryHold) end() {
+	close(h.ended)
+	h.interrupt()
+}
+
+// wasEnded reports whether the reading was ended. After release the result is final.
+func (h *memoryHold) wasEnded() bool {
+	select {
+	case <-h.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // reserve raises the memory of the message to total bytes. The error is a
@@ -102,7 +131,7 @@
 func (h *memoryHold) reserve(total int64) error {
 	granted := make(chan bytebudget.Holder, 1)
 	select {
-	case h.task <- memoryMsg{holder: h.holder, total: total, end: h.end, granted: granted}:
+	case h.task <- memoryMsg{holder: h.holder, total: total, patience: h.patience, end: h.end, granted: granted}:
 	case <-h.done:
 		return &MemoryError{Bytes: total}
 	}
@@ -139,6 +168,9 @@
 func (b *heldBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
+	if err != nil && !errors.Is(err, io.EOF) && b.hold.wasEnded() {
+		return n, &MemoryError{Bytes: b.held}
+	}
 	if b.read > b.held+freeRequestBytes {
 		if reserveErr := b.hold.reserve(2 * b.read); reserveErr != nil {
 			return n, reserveErr
@@ -148,5 +180,24 @@
 	return n, err
 }
 
+// reserveAll reserves the memory of a whole body of a known length, so that a body for
+// which there is none is refused before it is sent. The error is a *MemoryError.
+func (b *heldBody) reserveAll(length, maxLength int64) error {
+	if length <= freeRequestBytes || length > maxLength {
+		return nil
+	}
+	b.held = length
+	return b.hold.reserve(length)
+}
+
+// failedBody is a body that is not read.
+type failedBody struct{ err error }
+
+// Read implements io.Reader.
+func (b failedBody) Read([]byte) (int, error) { return 0, b.err }
+
+// Close implements io.Closer.
+func (b failedBody) Close() error { return nil }
+
 // freeRequestBytes is the part of a request's body that needs no reservation.
 const freeRequestBytes = 32 << 10
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -42,6 +42,8 @@
 	// tells why the request can't be read, nil if it was read. Reading the body may
 	// fail with a *MemoryError.
 	Decode(r *http.Request, maxBody int64) (*serve.Request, *outcome.Refusal)
+	// Timeout returns how long the caller of a request waits, zero if it does not say.
+	Timeout(r *http.Request) time.Duration
 	// Encode writes the answer to a request.
 	Encode(w http.ResponseWriter, r *serve.Request, a *serve.Answer)
 	// Pack encodes the payload of a request for another VM.
