Keep the pause that a target asked for when its entry comes back

A target that had asked for a pause and whose entry lapsed and returned was a new target without it, and got requests at once. The notice that a process is about to end was kept already; both are now kept by process.

--- a/core/serve/backoff.go
+++ b/core/serve/backoff.go
@@ -8,18 +8,25 @@
 )
 
 const (
-	// leavingRetention is how long the notice of a process that is about to end is
-	// kept. Its entry may come back until the process has ended.
-	leavingRetention = 2 * time.Minute
+	// noticeRetention is how long the notices of a process are kept. Its entry may come
+	// back until the process has ended.
+	noticeRetention = 2 * time.Minute
 	// lastResortPercent is the part of Settings.DrainWithin, in percent, for which a
 	// leaving target serves the requests of a service without another target. The
 	// rest is for requests that are on their way and for clocks.
 	lastResortPercent = 50
 )
 
-// leavingProcesses holds when each process said first that it is about to end. It
-// outlasts the entry of the target, which can lapse and return.
-type leavingProcesses map[processID]time.Time
+// processNotices holds what processes have said of themselves. It outlasts the entries of
+// their targets, which can lapse and return.
+type processNotices map[processID]processNotice
+
+// processNotice is what a process has said of itself.
+type processNotice struct {
+	leavingSince time.Time // when it said first that it is about to end; zero if it has not
+	backoffUntil time.Time // until when it wants no requests of this VM
+	at           time.Time // of the last notice
+}
 
 // processID identifies the process of a target. The process that starts next may
 // have the same id or address.
@@ -33,10 +40,10 @@
 }
 
 // prune removes the notices that are too old to matter.
-func (l leavingProcesses) prune(now time.Time) {
-	for id, since := range l {
-		if now.Sub(since) > leavingRetention {
-			delete(l, id)
+func (p processNotices) prune(now time.Time) {
+	for id, n := range p {
+		if now.Sub(n.at) > noticeRetention {
+			delete(p, id)
 		}
 	}
 }
@@ -47,7 +54,9 @@
 	if !t.lastResortUntil.IsZero() {
 		return
 	}
-	e.leaving[processOf(t.reg)] = now
+	n := e.notices[processOf(t.reg)]
+	n.leavingSince, n.at = now, now
+	e.notices[processOf(t.reg)] = n
 	t.lastResortUntil = e.lastResortEnd(now)
 	e.emit(LogEvent{Event: LogTargetLeaving, Service: t.service.name, Target: t.reg.ID, Duration: t.lastResortUntil.Sub(now)})
 }
@@ -65,6 +74,9 @@
 func (e *Engine) startBackoff(now time.Time, t *target, d time.Duration) {
 	if until := now.Add(d); until.After(t.backoffUntil) {
 		t.backoffUntil = until
+		n := e.notices[processOf(t.reg)]
+		n.backoffUntil, n.at = until, now
+		e.notices[processOf(t.reg)] = n
 		e.emit(LogEvent{Event: LogTargetBackoff, Service: t.service.name, Target: t.reg.ID, Duration: d})
 	}
 }
--- a/core/serve/backoff_test.go
+++ b/core/serve/backoff_test.go
@@ -215,3 +215,26 @@
 		assert.Equal(t, ejected, !c.stays, "last answer %v before", c.lastAnswer)
 	}
 }
+
+// Guards against requests to a target that wants none for a while, once its entry has
+// been lost and is back.
+func TestBackoffOutlastsTheEntry(t *testing.T) {
+	h := newHarness(t)
+	h.submit("/read/x")
+	shed := h.takeAttempt("single")
+	h.shedFor(shed, 2*time.Second)
+	h.answer(h.takeAttempt("single"), "")
+	until := h.now.Add(2 * time.Second)
+	entry := h.targets[shed.Target]
+	delete(h.targets, shed.Target)
+	h.publish()
+	h.advance(300 * time.Millisecond)
+	h.confirm()
+	h.targets[shed.Target] = entry
+	h.publish()
+	h.openAll()
+	for h.now.Before(until) {
+		assert.Equal(t, h.targetsUsed(1)[shed.Target], 0)
+	}
+	assert.Assert(t, h.targetsUsed(12)[shed.Target] > 0)
+}
--- a/core/serve/conns.go
+++ b/core/serve/conns.go
@@ -29,7 +29,7 @@
 		e.failQueued(now, s)
 		e.startQueued(now, s) // a backoff may have ended
 	}
-	e.leaving.prune(now)
+	e.notices.prune(now)
 }
 
 // inactiveIdleTimeout is how long a VM that gets no callers keeps unused
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -41,7 +41,7 @@
 
 	services          map[string]*service
 	targets           map[string]*target // by id
-	leaving           leavingProcesses
+	notices           processNotices
 	queries           map[RequestID]*query
 	attempts          map[AttemptID]*attempt
 	conns             map[ConnID]*conn
@@ -82,7 +82,7 @@
 func NewEngine(now time.Time, s Settings) *Engine {
 	return &Engine{
 		settings: s, started: now, reportAt: now, view: &mesh.View{},
-		services: make(map[string]*service), targets: make(map[string]*target), leaving: make(leavingProcesses),
+		services: make(map[string]*service), targets: make(map[string]*target), notices: make(processNotices),
 		queries: make(map[RequestID]*query), attempts: make(map[AttemptID]*attempt),
 		conns: make(map[ConnID]*conn), routes: make(map[string]*routeState),
 		workspaces: make(map[string]*workspaceState), crashes: newCrashes(),
--- a/core/serve/publish.go
+++ b/core/serve/publish.go
@@ -70,8 +70,10 @@
 		e.targets[id] = t
 		t.service.targets = append(t.service.targets, t)
 		e.startWarmup(now, t, reg.WarmupLeft)
-		if since, leaving := e.leaving[processOf(reg)]; leaving {
-			t.lastResortUntil = e.lastResortEnd(since)
+		n := e.notices[processOf(reg)]
+		t.backoffUntil = n.backoffUntil
+		if !n.leavingSince.IsZero() {
+			t.lastResortUntil = e.lastResortEnd(n.leavingSince)
 		}
 		e.emit(LogEvent{Event: LogTargetAdded, Service: reg.Service, Target: id, Cause: reg.Zone, Duration: reg.WarmupLeft})
 	} else if reg != t.reg {
