Play answers without end at a real process

Reported by another operator: a target sent bytes without end until the caller closed, and the VM kept them all and ran out of memory. Not seen here: answers and their heads, interim responses, chunk extensions and trailers are bounded.

Change: a test with a real process and eight kinds of endless answers at every shard, beside a service that is sound. The start of a process is shared with the stop test.

--- /dev/null
+++ b/cmd/anvilforkd/endless_test.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/anvilfork/anvilfork/platform/platformtest"
+)
+
+// startEndlessTarget starts and registers a target that answers every request with a
+// prefix and then the same bytes without end, until the VM closes.
+func startEndlessTarget(t *testing.T, store *platformtest.Store, id, service, prefix, fill string) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	store.Put(platformtest.Entry(id, service, "z1", l.Addr().String(), false))
+	block := []byte(strings.Repeat(fill, 64<<10/len(fill)))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, err := c.Write([]byte(prefix))
+				for err == nil {
+					_, err = c.Write(block)
+				}
+			}()
+		}
+	}()
+}
+
+// peakMemory returns the largest resident memory of a process so far, in bytes.
+func peakMemory(t *testing.T, pid int) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	assert.NilError(t, err)
+	kb, err := strconv.Atoi(string(regexp.MustCompile(`VmHWM:\s*(\d+) kB`).FindSubmatch(status)[1]))
+	assert.NilError(t, err)
+	return kb << 10
+}
+
+// Guards against targets whose answers never end, in a head or in a body, and that take
+// the memory of the process or the requests that other targets answer.
+func TestFaultEndlessAnswersAtAProcess(t *testing.T) {
+	const (
+		ip      = "127.8.3.1" // of this test alone
+		shards  = 6
+		callers = 16
+		plays   = 6 * time.Second
+		memory  = 284 << 20 // of platformtest.Settings
+		head    = "HTTP/1.1 200 OK\r\nX-Anvilfork-Response-Seal: s\r\n"
+	)
+	endless := []struct{ prefix, fill string }{
+		{"", "\x16\x03\x01"}, {"HTTP/1.1 200 ", "x"}, {head, "A: b\r\n"}, {head + "\r\n", "x"},
+		{head + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + strings.Repeat("x", 0x8000) + "\r\n"}, {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{head + "Transfer-Encoding: chunked\r\n\r\n1;", "x"}, {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	}
+	store := platformtest.NewStore()
+	defer store.Close()
+	runs := make(chan platformtest.Run, 1<<16)
+	config := platformtest.Config{Version: 1, Single: "single", Keys: map[string][]string{"w": {"k1"}}, Rates: map[string]float64{"w": 10000}}
+	addTarget := func(id, service string) {
+		target, err := platformtest.NewTarget(id, service, "z1", 5*time.Millisecond, runs)
+		assert.NilError(t, err)
+		t.Cleanup(target.Kill)
+		store.Put(platformtest.Entry(id, service, "z1", target.Address(), false))
+	}
+	addTarget("i-single", "single")
+	for i := range shards {
+		service := fmt.Sprintf("shard%d", i)
+		config.Shards = append(config.Shards, service)
+		addTarget("i-"+service, service)
+		for k, e := range endless {
+			startEndlessTarget(t, store, fmt.Sprintf("bad-%d-%d", i, k), service, e.prefix, e.fill)
+		}
+	}
+	store.Put(platformtest.ConfigKey, config.JSON())
+	cmd := startProcess(t, ip, store)
+	var mu sync.Mutex
+	statuses := map[string]map[int]int{"/once/": {}, "/all/": {}}
+	var callersDone sync.WaitGroup
+	for c := range callers {
+		path := "/all/"
+		if c%4 == 0 {
+			path = "/once/"
+		}
+		callersDone.Add(1)
+		go func() {
+			defer callersDone.Done()
+			for until := time.Now().Add(plays); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+				req, err := http.NewRequest(http.MethodPost, "http://"+ip+":"+platformtest.FrontPort+path+"x", nil) //nolint:noctx // a test's own server
+				if err != nil {
+					panic(err)
+				}
+				req.Host = "h"
+				req.Header.Set(platformtest.HeaderRequest, fmt.Sprintf("%d-%d", c, time.Now().UnixNano()))
+				req.Header.Set("Authorization", "Token k1")
+				status := 0
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					status = resp.StatusCode
+					resp.Body.Close()
+				}
+				mu.Lock()
+				statuses[path][status]++
+				mu.Unlock()
+			}
+		}()
+	}
+	callersDone.Wait()
+	peak := peakMemory(t, cmd.Process.Pid)
+	t.Logf("peak %d MB, answers %v", peak>>20, statuses)
+	assert.Assert(t, peak < memory, "%d bytes", peak)
+	assert.Assert(t, statuses["/once/"][http.StatusOK] > 0 && statuses["/all/"][http.StatusOK] > 0, "%v", statuses)
+	assert.Equal(t, statuses["/once/"][0]+statuses["/all/"][0], 0)
+	assert.Equal(t, len(statuses["/once/"]), 1, "%v", statuses) // no request of a sound service suffers
+}
--- a/cmd/anvilforkd/stop_test.go
+++ b/cmd/anvilforkd/stop_test.go
@@ -4,9 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -72,11 +69,8 @@
 		grace   = 3 * time.Second // of platformtest.Settings
 		timeout = 5 * time.Second // of the route
 		atOnce  = 300 * time.Millisecond
-		ip      = "127.8.2.1"
+		ip      = "127.8.2.1" // of this test alone
 	)
-	bin := filepath.Join(t.TempDir(), "anvilforkd")
-	out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput()
-	assert.NilError(t, err, string(out))
 	store := platformtest.NewStore()
 	defer store.Close()
 	runs := make(chan platformtest.Run, 1<<14)
@@ -89,25 +83,7 @@
 	config := platformtest.Config{Version: 1, Shards: []string{"shard"}, Single: "single", Keys: map[string][]string{"w": {"k1"}}, Rates: map[string]float64{"w": 1000}}
 	slowRoute := strings.NewReplacer(`"TimeoutMs":2000`, `"TimeoutMs":5000`, `"TargetLatencyMs":600`, `"TargetLatencyMs":4000`)
 	store.Put(platformtest.ConfigKey, slowRoute.Replace(config.JSON()))
-	path := filepath.Join(t.TempDir(), "settings.yaml")
-	assert.NilError(t, os.WriteFile(path, []byte(platformtest.Settings("vm1", ip, "z1", store.Address(), []string{ip + ":" + platformtest.PeerPort})), 0o600))
-	cmd := exec.Command(bin, "-platform")
-	cmd.Env = append(os.Environ(), platformtest.SettingsVariable+"="+path)
-	var log strings.Builder
-	cmd.Stdout = &log
-	assert.NilError(t, cmd.Start())
-	defer func() { _ = cmd.Process.Kill() }() // it has ended already if the test passes
-	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		assert.Assert(t, time.Now().Before(deadline), "the VM does not serve: %s", log.String())
-		resp, err := http.Get("http://" + ip + ":" + platformtest.ReadyPort + "/v1/ready") //nolint:noctx // a test's own server
-		if err != nil {
-			continue
-		}
-		resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
-			break
-		}
-	}
+	cmd := startProcess(t, ip, store)
 
 	var mu sync.Mutex
 	var answers []stopAnswer
