--- a/cmd/anvilforkd/endless_test.go
+++ b/cmd/anvilforkd/endless_test.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"regexp"
@@ -18,34 +16,6 @@
 	"github.com/anvilfork/anvilfork/platform/platformtest"
 )
 
-// startEndlessTarget starts and registers a target that answers every request with a
-// prefix and then the same bytes without end, until the VM closes.
-func startEndlessTarget(t *testing.T, store *platformtest.Store, id, service, prefix, fill string) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	store.Put(platformtest.Entry(id, service, "z1", l.Addr().String(), false))
-	block := []byte(strings.Repeat(fill, 64<<10/len(fill)))
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := c.Write([]byte(prefix))
-				for err == nil {
-					_, err = c.Write(block)
-				}
-			}()
-		}
-	}()
-}
-
 // peakMemory returns the largest resident memory of a process so far, in bytes.
 func peakMemory(t *testing.T, pid int) int {
 	t.Helper()
@@ -88,7 +58,10 @@
 		config.Shards = append(config.Shards, service)
 		addTarget("i-"+service, service)
 		for k, e := range endless {
-			startEndlessTarget(t, store, fmt.Sprintf("bad-%d-%d", i, k), service, e.prefix, e.fill)
+			target, err := platformtest.NewEndlessTarget(e.prefix, e.fill)
+			assert.NilError(t, err)
+			defer target.Close()
+			store.Put(platformtest.Entry(fmt.Sprintf("bad-%d-%d", i, k), service, "z1", target.Address(), false))
 		}
 	}
 	store.Put(platformtest.ConfigKey, config.JSON())
