Start where the platform states no bound on keys or rates

Cause: customers without workspaces have no RevokeMs and no quota window in their settings. A missing parameter was read as zero and refused, so that every VM of the two new deployments ended with exit code 2.

--- a/core/quota/fleetlimit.go
+++ b/core/quota/fleetlimit.go
@@ -10,11 +10,15 @@
 // Tolerance bounds what all VMs together may admit beyond a limit: in any Window,
 // the requests within the limit times 1+OverRatio, plus SlackRequests.
 type Tolerance struct {
-	Window        time.Duration
+	Window        time.Duration // zero takes defaultWindow
 	OverRatio     float64
 	SlackRequests float64
 }
 
+// defaultWindow applies where no window is set. A window of zero would turn what the
+// tolerance leaves into an infinite rate.
+const defaultWindow = 5 * time.Second
+
 const (
 	// overRatioUsed is the fraction of OverRatio by which the rates of all VMs
 	// together exceed a limit. VMs don't know each other's demand exactly, and
@@ -42,13 +46,20 @@
 func (t Tolerance) PoolLimit(limit Limit) Limit {
 	_, remaining := t.divide(limit)
 	pool := remaining * poolFraction
-	return Limit{RatePerSecond: pool * (1 - poolBurstFraction) / t.Window.Seconds(), Burst: max(pool*poolBurstFraction, minBurst)}
+	return Limit{RatePerSecond: pool * (1 - poolBurstFraction) / t.window().Seconds(), Burst: max(pool*poolBurstFraction, minBurst)}
+}
+
+func (t Tolerance) window() time.Duration {
+	if t.Window <= 0 {
+		return defaultWindow
+	}
+	return t.Window
 }
 
 // divide returns the rate that all VMs hold, and the requests that the tolerance
 // leaves in a window beyond it.
 func (t Tolerance) divide(limit Limit) (rate, remaining float64) {
-	w := t.Window.Seconds()
+	w := t.window().Seconds()
 	maxRequests := (limit.RatePerSecond*w+limit.Burst)*(1+t.OverRatio) + t.SlackRequests
 	rate = limit.RatePerSecond * (1 + overRatioUsed*t.OverRatio)
 	return rate, max(maxRequests-rate*w, 0)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -66,7 +66,7 @@
 	durations := []struct {
 		field string
 		value time.Duration
-	}{{"RevokeWithin", s.RevokeWithin}, {"DrainWithin", s.DrainWithin}, {"StopGrace", s.StopGrace}, {"DirectoryTTL", s.DirectoryTTL}}
+	}{{"RevokeWithin", s.RevokeWithin}, {"DrainWithin", s.DrainWithin}, {"StopGrace", s.StopGrace}, {"DirectoryTTL", s.DirectoryTTL}, {"Quota.Window", s.Quota.Window}}
 	for _, d := range durations {
 		if d.value <= 0 {
 			return &SettingError{Field: d.field, Value: d.value.String(), Reason: "must be above zero"}
@@ -75,5 +75,8 @@
 	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
 		return &SettingError{Field: "Retry", Value: fmt.Sprint(s.Retry), Reason: "must not be below zero"}
 	}
+	if s.Quota.OverRatio < 0 || s.Quota.SlackRequests < 0 {
+		return &SettingError{Field: "Quota", Value: fmt.Sprint(s.Quota), Reason: "must not be below zero"}
+	}
 	return nil
 }
