Relay whole fan-outs of VMs that get few callers to active VMs

A VM that callers are not sent to keeps no connections. Each takes a target the time of a request.

Such a VM now relays the fan-out in one call to an active VM of its zone, and shards with targets in other zones only to VMs there. Queries and VMs spread over the active VMs. Work that is refused goes to a further VM, and is run here after three; a lost call and a missing reply make this VM run or hedge the shards itself, so that a VM that is cut off loses no answers. Shards that are late at a VM that replies are hedged in one call to another active VM. Records of two relays whose groups overlap are not both used. The message is unchanged: earlier builds run the work like shards of another zone. A VM refuses shards of services that its own configuration does not name, as it knows no limits on connections and cold targets for them.

New connections are counted by cause in connections_opened_total.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -133,7 +133,7 @@
 		c.targetClosesAt = now.Add(ev.IdleTimeout * idleUsedPercent / 100)
 	}
 	if !ev.Reusable || !t.registered(now) {
-		e.dropConn(c)
+		e.dropConn(c, ConnLoss)
 	}
 	e.ensureSpareConn(now, t)
 }
@@ -173,7 +173,7 @@
 		return
 	case ev.Kind == WrongProcess:
 		t.replaced, t.connected = true, false // until the next CatalogChanged
-		e.closeIdleConns(t)
+		e.closeIdleConns(t, ConnLoss)
 	case ev.Kind == Shed && ev.Backoff > 0: // it has said itself for how long to avoid it
 		t.limit = max(t.limit*limitDecrease, 1)
 	case ev.Kind == Shed:
@@ -223,18 +223,23 @@
 // retryOrFail retries a sub-request after a failed attempt, or fails it if it
 // may not be retried. It does nothing while another attempt may still answer.
 func (e *Engine) retryOrFail(now time.Time, sub *subRequest, kind ResultKind, failure string) {
-	if sub.pending() > 0 {
-		return
+	if sub.pending() == 0 && e.mayRetry(now, sub, kind, failure) {
+		e.startOrQueue(now, sub)
 	}
+}
+
+// mayRetry reports whether a sub-request is to be retried after a failed attempt. It
+// fails the sub-request otherwise.
+func (e *Engine) mayRetry(now time.Time, sub *subRequest, kind ResultKind, failure string) bool {
 	cause := e.noRetryReason(now, sub, kind)
 	if cause != "" {
 		e.emit(LogEvent{Event: LogNoRetry, Request: sub.query.request, Service: sub.service.name, Cause: cause, Count: sub.delivered})
 		e.failSubRequest(now, sub)
-		return
+		return false
 	}
 	sub.query.retries++
 	e.emit(LogEvent{Event: LogRetry, Request: sub.query.request, Service: sub.service.name, Cause: failure, Count: sub.delivered})
-	e.startOrQueue(now, sub)
+	return true
 }
 
 // completeSubRequest ends a sub-request with a success. Its other attempts are
@@ -287,30 +292,45 @@
 	if !q.route.Idempotent {
 		return
 	}
+	e.relayDueHedges(now, q)
 	for _, sub := range q.subRequests {
 		if sub.done || sub.hedgeAt.IsZero() || now.Before(sub.hedgeAt) {
 			continue
 		}
+		needed := e.needsHedge(now, sub)
 		sub.hedgeAt = time.Time{}
-		if sub.pending() != 1 || sub.hedged || sub.possibleRuns+sub.pending() >= q.route.MaxAttempts {
-			continue
-		}
-		if e.tooLateToStart(now, q, 0) {
+		if !needed {
 			continue
 		}
 		t := e.pickTarget(now, sub, true)
+		if t == nil {
+			e.connectForHedge(now, sub)
+		}
 		if t == nil || !sub.service.budget.TakeHedge() {
 			sub.hedgeAt = now.Add(max(e.route(q.route.Name).latency.P50/hedgeRecheckDivisor, minHedgeWait))
 			continue
 		}
-		sub.hedged = true
-		q.hedges++
-		first, since := sub.firstAttempt()
-		e.emit(LogEvent{Event: LogHedge, Request: q.request, Service: sub.service.name, Target: t.reg.ID, Cause: first, Duration: now.Sub(since)})
+		e.recordHedge(now, sub, t.reg.ID)
 		e.startAttempt(now, sub, t, true)
 	}
 }
 
+// needsHedge reports whether a hedge of a sub-request is due and allowed.
+func (e *Engine) needsHedge(now time.Time, sub *subRequest) bool {
+	if sub.done || sub.hedgeAt.IsZero() || now.Before(sub.hedgeAt) {
+		return false
+	}
+	return sub.pending() == 1 && !sub.hedged && sub.possibleRuns+sub.pending() < sub.query.route.MaxAttempts && !e.tooLateToStart(now, sub.query, 0)
+}
+
+// recordHedge records that a sub-request gets a second attempt at a target or VM.
+func (e *Engine) recordHedge(now time.Time, sub *subRequest, at string) {
+	sub.hedged = true
+	sub.query.hedges++
+	first, since := sub.firstAttempt()
+	e.emit(LogEvent{Event: LogHedge, Request: sub.query.request, Service: sub.service.name, Target: at, Cause: first, Duration: now.Sub(since)})
+}
+
 // firstAttempt returns the target or VM that runs the only attempt of a
 // sub-request, and when the attempt began.
 func (sub *subRequest) firstAttempt() (where string, since time.Time) {
@@ -339,7 +359,7 @@
 	t := a.target
 	t.running = slices.DeleteFunc(t.running, func(o *attempt) bool { return o == a })
 	a.conn.attempt = nil
-	e.dropConn(a.conn)
+	e.dropConn(a.conn, ConnAbandoned)
 	if !t.answeredAt.After(a.started) && now.Sub(a.started) > stallFactor*a.route.latency.P99 {
 		e.targetFailed(now, t, "silent")
 	}
--- a/core/serve/conns.go
+++ b/core/serve/conns.go
@@ -19,7 +19,7 @@
 		e.ensureSpareConn(now, t)
 		e.closeSurplusConn(now, t)
 		if !t.registered(now) || !e.wantsSpareConns(now, t) && t.idleTime(now) > inactiveIdleTimeout {
-			e.closeIdleConns(t)
+			e.closeIdleConns(t, ConnIdle)
 			if len(t.conns) == 0 && t.missing && !now.Before(t.lapsedUntil) {
 				e.removeTarget(id, t)
 			}
@@ -56,7 +56,7 @@
 		}
 	}
 	if idle > spareConns && now.Sub(oldest.usedAt) > surplusIdleTimeout {
-		e.dropConn(oldest)
+		e.dropConn(oldest, ConnIdle)
 	}
 }
 
@@ -91,11 +91,17 @@
 	if idle >= spareConns || len(t.conns) >= e.maxConns(t.service) {
 		return
 	}
+	e.openConn(now, t)
+}
+
+// openConn opens a connection to a target.
+func (e *Engine) openConn(now time.Time, t *target) {
 	e.connSeq++
 	c := &conn{id: e.connSeq, target: t, usedAt: now}
-	t.conns = append(t.conns, c)
+	cause := e.connCause(t)
+	t.conns, t.closedBy = append(t.conns, c), 0
 	e.conns[c.id] = c
-	e.emit(OpenConn{Conn: c.id, Address: t.reg.Address})
+	e.emit(OpenConn{Conn: c.id, Address: t.reg.Address, Cause: cause})
 }
 
 // wantsSpareConns reports whether idle connections to the target are kept. A VM
@@ -136,7 +142,7 @@
 	t := c.target
 	t.connected = true
 	if !t.registered(now) {
-		e.dropConn(c)
+		e.dropConn(c, ConnIdle)
 		return
 	}
 	e.ensureSpareConn(now, t)
@@ -156,7 +162,11 @@
 		return
 	}
 	neverAnswered := !c.open || !c.verified && now.Sub(c.usedAt) < resetWindow
-	e.dropConn(c)
+	cause := ConnIdle
+	if neverAnswered {
+		cause = ConnLoss
+	}
+	e.dropConn(c, cause)
 	if neverAnswered {
 		t.nextConnectAt = now.Add(min(connectBackoff<<min(t.connectFailures, 6), maxConnectBackoff))
 		t.connectFailures++
@@ -167,10 +177,11 @@
 	e.ensureSpareConn(now, t)
 }
 
-// dropConn closes a connection and removes it.
-func (e *Engine) dropConn(c *conn) {
+// dropConn closes a connection and removes it. The cause is that of the next one.
+func (e *Engine) dropConn(c *conn, cause ConnCause) {
 	delete(e.conns, c.id)
 	t := c.target
+	t.closedBy = cause
 	t.conns = slices.DeleteFunc(t.conns, func(o *conn) bool { return o == c })
 	if !slices.ContainsFunc(t.conns, func(o *conn) bool { return o.open }) {
 		t.connected = false
@@ -178,10 +189,10 @@
 	e.emit(CloseConn{Conn: c.id})
 }
 
-func (e *Engine) closeIdleConns(t *target) {
+func (e *Engine) closeIdleConns(t *target, cause ConnCause) {
 	for _, c := range slices.Clone(t.conns) {
 		if c.attempt == nil {
-			e.dropConn(c)
+			e.dropConn(c, cause)
 		}
 	}
 }
--- a/core/serve/harness_test.go
+++ b/core/serve/harness_test.go
@@ -24,9 +24,10 @@
 	targets    map[string]*catalog.Target // targets that have an entry now
 	everKnown  map[string]*catalog.Target // targets that ever had an entry
 	config     *catalog.Config
-	opened     map[ConnID]string // addresses of the connections that are open or being opened
-	connecting []OpenConn        // connections that are being opened
-	started    []StartAttempt    // attempts in flight
+	opened     map[ConnID]string        // addresses of the connections that are open or being opened
+	connecting []OpenConn               // connections that are being opened
+	openCauses [len(connCauseNames)]int // number of connections that were opened, by cause
+	started    []StartAttempt           // attempts in flight
 	answers    map[RequestID]*Answer
 	logEvents  []LogEvent
 	seq        RequestID
@@ -134,6 +135,7 @@
 		switch a := a.(type) {
 		case OpenConn:
 			h.connecting = append(h.connecting, a)
+			h.openCauses[a.Cause]++
 			h.opened[a.Conn] = a.Address
 		case CloseConn:
 			delete(h.opened, a.Conn)
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -114,8 +114,8 @@
 	Running, Queued, Slots int
 }
 
-// RelayedWork is the part of a fan-out that a VM runs for another one which has
-// no targets of these shards in its zone. Each shard gets a single attempt; the
+// RelayedWork is the part of a fan-out that a VM runs for another one, which has
+// no targets of these shards in its zone or no connections to them. Each shard gets a single attempt; the
 // VM that relayed the work makes the second one itself.
 type RelayedWork struct {
 	Route        string
@@ -249,6 +249,7 @@
 type OpenConn struct {
 	Conn    ConnID
 	Address string
+	Cause   ConnCause
 }
 
 // CloseConn closes a connection. No event follows.
--- a/core/serve/publish.go
+++ b/core/serve/publish.go
@@ -61,7 +61,7 @@
 func (e *Engine) applyEntry(now time.Time, id string, reg *catalog.Target) {
 	t := e.targets[id]
 	if t != nil && !t.reg.SameProcess(reg) {
-		e.closeIdleConns(t)
+		e.closeIdleConns(t, ConnLoss)
 		e.removeTarget(id, t)
 		t = nil
 	}
@@ -123,7 +123,7 @@
 		return
 	}
 	e.emit(LogEvent{Event: LogTargetRemoved, Service: t.service.name, Target: id})
-	e.closeIdleConns(t)
+	e.closeIdleConns(t, ConnLoss)
 }
 
 // removeTarget removes a target. Attempts in flight there run to their end.
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -63,15 +63,20 @@
 	done         bool
 	response     *Response      // last answer of a target, successful or not
 	relay        *relay         // set while another VM runs an attempt
+	hedgeRelay   *relay         // set while another VM runs a hedge
+	relayedTo    []fleet.VMID   // VMs that have run attempts or refused to
 	merged       *mergedRecords // holds the records instead of response if another VM merged them
 }
 
 // pending returns the number of attempts that may still answer.
 func (sub *subRequest) pending() int {
-	if sub.relay != nil {
-		return len(sub.running) + 1
+	n := len(sub.running)
+	for _, r := range []*relay{sub.relay, sub.hedgeRelay} {
+		if r != nil {
+			n++
+		}
 	}
-	return len(sub.running)
+	return n
 }
 
 func (q *query) addSubRequest(s *service) {
--- a/core/serve/relay.go
+++ b/core/serve/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -28,20 +29,30 @@
 	query       *query
 	vm          fleet.VMID
 	subRequests []*subRequest // in the order of RelayedWork.Shards
+	isHedge     bool          // the sub-requests run elsewhere too, and are late there
 	started     time.Time
 	replyDue    time.Time // when the first reply is due
 	replied     bool      // at least one reply has come
+	isLate      bool      // none had come when the first one was due
 }
 
 // mergedRecords holds the records of several sub-requests, merged by another
 // VM.
-type mergedRecords struct{ body []byte }
+type mergedRecords struct {
+	body        []byte
+	subRequests []*subRequest // whose records the body holds
+}
 
-// relayFarShards relays the shards of a fan-out that have no target in this zone to
-// VMs in the zones of their targets, so that one reply of each zone crosses zones
-// instead of an answer of each shard.
+// relayFarShards relays the shards of a fan-out that are to run on other VMs: all
+// of them if this VM is not active, and otherwise those without a target in this
+// zone, so that one reply of each zone crosses zones instead of an answer of each
+// shard.
 func (e *Engine) relayFarShards(now time.Time, q *query) {
-	if q.route.FanOut == nil || !e.view.IsActive() {
+	if q.route.FanOut == nil {
+		return
+	}
+	if !e.view.IsActive() {
+		e.handOff(now, q, q.subRequests)
 		return
 	}
 	byZone := make(map[string][]*subRequest) // sub-requests by each zone with targets for them
@@ -59,10 +70,15 @@
 		if len(subRequests) < minRelayShards {
 			return
 		}
-		e.startRelay(now, q, vm, subRequests)
-		for zone, open := range byZone {
-			byZone[zone] = slices.DeleteFunc(open, func(sub *subRequest) bool { return sub.relay != nil })
-		}
+		e.startRelay(now, q, vm, subRequests, false)
+		removeAssigned(byZone, subRequests)
+	}
+}
+
+// removeAssigned removes sub-requests that a VM is to run from those by zone.
+func removeAssigned(byZone map[string][]*subRequest, assigned []*subRequest) {
+	for zone, open := range byZone {
+		byZone[zone] = slices.DeleteFunc(open, func(sub *subRequest) bool { return slices.Contains(assigned, sub) })
 	}
 }
 
@@ -79,44 +95,90 @@
 }
 
 // chooseRelayVM returns the VM for a relay and the sub-requests that it is to
-// run. It is one in the zone with targets for most of them, and a different one
-// for successive queries.
+// run. A VM of this zone comes first, then one in the zone with targets for most of
+// the sub-requests. Successive queries, and different VMs, use different ones.
 func (e *Engine) chooseRelayVM(now time.Time, q *query, byZone map[string][]*subRequest) (mesh.Node, []*subRequest) {
 	var candidates []mesh.Node
-	maxCount := 0
+	var best relayPreference
 	for _, n := range e.view.Active {
-		if len(byZone[n.Zone]) > 0 && !now.Before(e.relayBlockedUntil[n.ID]) {
-			candidates = append(candidates, n)
-			maxCount = max(maxCount, len(byZone[n.Zone]))
+		if now.Before(e.relayBlockedUntil[n.ID]) {
+			continue
 		}
+		p := relayPreference{isNear: n.Zone == e.settings.Zone, shards: len(untriedAt(n.ID, byZone[n.Zone]))}
+		switch c := p.compare(best); {
+		case p.shards == 0 || c < 0:
+			continue
+		case c > 0:
+			candidates, best = candidates[:0], p
+		}
+		candidates = append(candidates, n)
 	}
-	candidates = slices.DeleteFunc(candidates, func(n mesh.Node) bool { return len(byZone[n.Zone]) < maxCount })
 	if len(candidates) == 0 {
 		return mesh.Node{}, nil
 	}
 	slices.SortFunc(candidates, func(a, b mesh.Node) int { return cmp.Compare(a.ID, b.ID) })
-	vm := candidates[q.seq%uint64(len(candidates))]
-	return vm, slices.Clone(byZone[vm.Zone])
+	vm := candidates[(q.seq+spreadOffset(e.view.Self.ID))%uint64(len(candidates))]
+	return vm, untriedAt(vm.ID, byZone[vm.Zone])
+}
+
+// relayPreference orders the VMs for a relay.
+type relayPreference struct {
+	isNear bool // the VM is in this zone
+	shards int  // number of sub-requests that it could run
 }
 
-// startRelay relays sub-requests to a VM. The targets in its zone count as
-// tried, so that hedges go elsewhere.
-func (e *Engine) startRelay(now time.Time, q *query, vm mesh.Node, subRequests []*subRequest) {
+// compare returns a positive number if p is preferred to o.
+func (p relayPreference) compare(o relayPreference) int {
+	if p.isNear != o.isNear && p.shards > 0 && o.shards > 0 {
+		if p.isNear {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(p.shards, o.shards)
+}
+
+// untriedAt returns the sub-requests that were not relayed to a VM before.
+func untriedAt(vm fleet.VMID, subRequests []*subRequest) []*subRequest {
+	var untried []*subRequest
+	for _, sub := range subRequests {
+		if !slices.Contains(sub.relayedTo, vm) {
+			untried = append(untried, sub)
+		}
+	}
+	return untried
+}
+
+// spreadOffset returns a number that differs between VMs, so that they don't all
+// begin with the same one of several choices.
+func spreadOffset(id fleet.VMID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return h.Sum64() >> 32     // adding a sequence number does not overflow
+}
+
+// startRelay relays sub-requests to a VM, as hedges if they run elsewhere too. The
+// targets in its zone count as tried, so that later attempts go elsewhere.
+func (e *Engine) startRelay(now time.Time, q *query, vm mesh.Node, subRequests []*subRequest, isHedge bool) {
 	e.relaySeq++
-	r := &relay{id: e.relaySeq, query: q, vm: vm.ID, subRequests: subRequests, started: now}
+	r := &relay{id: e.relaySeq, query: q, vm: vm.ID, subRequests: subRequests, isHedge: isHedge, started: now}
 	e.relays[r.id] = r
-	q.relays, q.relayedTo = append(q.relays, r), append(q.relayedTo, vm.ID)
-	q.relayed += len(subRequests)
-	wait := e.hedgeWait(now, q)
+	q.relays = append(q.relays, r)
+	if !slices.Contains(q.relayedTo, vm.ID) {
+		q.relayedTo = append(q.relayedTo, vm.ID)
+	}
+	wait := e.relayWait(now, q)
 	r.replyDue = now.Add(wait + relayHopAllowance)
+	if isHedge {
+		wait = min(wait, max(e.route(q.route.Name).latency.P50, minHedgeWait)) // late already: no shard waits for another one
+	}
 	work := &RelayedWork{
 		Route: q.route.Name, TopK: q.route.FanOut.TopK, Request: q.request, Workspace: q.workspaceName, Priority: q.priority,
 		TimeLeft: q.deadline.Sub(now), ReplyTimeout: wait,
 	}
 	for _, sub := range subRequests {
 		work.Shards = append(work.Shards, sub.service.name)
-		sub.relay = r
-		sub.hedgeAt = r.replyDue
+		r.attach(sub)
 		for _, t := range sub.service.targets {
 			if t.reg.Zone == vm.Zone {
 				sub.tried = append(sub.tried, t)
@@ -126,122 +188,50 @@
 	e.emit(StartRelay{Relay: r.id, Peer: vm.Peer, Work: work})
 }
 
-// relayReplied handles a reply of another VM. The records in a reply are
-// merged, so they replace an answer to the same shard that an attempt of this
-// VM got meanwhile.
-func (e *Engine) relayReplied(now time.Time, ev RelayReplied) {
-	r := e.relays[ev.Relay]
-	if r == nil {
-		return // the query has ended
-	}
-	r.replied = true
-	q := r.query
-	for _, id := range ev.Reply.Leaving {
-		if t := e.targets[id]; t != nil {
-			e.targetLeaving(now, t)
-		}
-	}
-	b := &mergedRecords{body: ev.Reply.Body}
-	for _, done := range ev.Reply.Answers {
-		sub := r.subRequests[done.Shard]
-		sub.relay = nil
-		q.attempts += done.Attempts
-		sub.delivered += done.Attempts
-		sub.merged, sub.response = b, &Response{Success: true, Signature: done.Signature}
-		if !sub.done {
-			e.completeSubRequest(now, sub)
-		}
-	}
-	for _, f := range ev.Reply.Failed {
-		q.attempts += f.Attempts
-		e.relayedShardFailed(now, r.subRequests[f.Shard], f)
-	}
-	if !ev.Reply.More {
-		e.removeRelay(r)
-	}
-	for _, sub := range r.subRequests {
-		if sub.relay == r && !sub.hedgeAt.IsZero() {
-			sub.hedgeAt = now // the other VM has replied, so shards that are still running are late
-		}
-	}
-	e.advance(now, q)
-}
-
-// relayedShardFailed retries a sub-request that failed on the other VM, unless
-// an attempt of this VM is in flight.
-func (e *Engine) relayedShardFailed(now time.Time, sub *subRequest, f RelayedFailure) {
-	sub.relay = nil
-	sub.delivered += f.Attempts
-	sub.possibleRuns += f.PossibleRuns
-	if sub.done || sub.pending() > 0 {
-		return
-	}
-	if f.Attempts == 0 { // the other VM had no target for it
-		e.startOrQueue(now, sub)
+// attach makes a sub-request wait for the relay.
+func (r *relay) attach(sub *subRequest) {
+	if len(sub.relayedTo) == 0 {
+		r.query.relayed++
+	}
+	sub.relayedTo = append(sub.relayedTo, r.vm)
+	if r.isHedge {
+		sub.hedgeRelay = r
 		return
 	}
-	kind := Shed
-	if f.PossibleRuns > 0 {
-		kind = ConnLost
-	}
-	e.retryOrFail(now, sub, kind, "relayed "+kind.String())
+	sub.relay, sub.hedgeAt = r, r.replyDue
 }
 
-// relayFailed runs the open sub-requests of a failed relay on this VM. Unless
-// the other VM refused the work, each counts as an attempt that may have run.
-func (e *Engine) relayFailed(now time.Time, ev RelayFailed) {
-	r := e.relays[ev.Relay]
-	if r == nil {
-		return // the query has ended
-	}
-	q := r.query
-	e.emit(LogEvent{Event: LogRelayFailed, Request: q.request, Target: string(r.vm), Cause: ev.Cause, Duration: now.Sub(r.started)})
-	e.relayBlockedUntil[r.vm] = now.Add(relayBackoff)
-	e.removeRelay(r)
-	failure := RelayedFailure{Attempts: 1, PossibleRuns: 1}
-	if ev.Refused {
-		failure = RelayedFailure{}
-	}
-	var open []*subRequest
-	for _, sub := range r.subRequests {
-		if sub.relay == r {
-			sub.relay = nil
-			open = append(open, sub)
-		}
+// detach ends the wait of a sub-request for the relay.
+func (r *relay) detach(sub *subRequest) {
+	if sub.relay == r {
+		sub.relay = nil
 	}
-	for _, sub := range open {
-		e.relayedShardFailed(now, sub, failure)
+	if sub.hedgeRelay == r {
+		sub.hedgeRelay = nil
 	}
-	e.advance(now, q)
 }
 
-// detectLateRelays stops relaying to VMs that have sent no reply by the time when
-// one was due.
-func (e *Engine) detectLateRelays(now time.Time, q *query) {
-	for _, r := range q.relays {
-		if r.replied || now.Before(r.replyDue) || now.Before(e.relayBlockedUntil[r.vm]) {
-			continue
-		}
-		e.relayBlockedUntil[r.vm] = now.Add(relayBackoff)
-		e.emit(LogEvent{Event: LogRelayFailed, Request: q.request, Target: string(r.vm), Cause: "no reply in time", Duration: now.Sub(r.started)})
-	}
-}
+// runs reports whether a sub-request waits for the relay.
+func (r *relay) runs(sub *subRequest) bool { return sub.relay == r || sub.hedgeRelay == r }
 
 func (e *Engine) removeRelay(r *relay) {
 	delete(e.relays, r.id)
 	r.query.relays = slices.DeleteFunc(r.query.relays, func(o *relay) bool { return o == r })
 }
 
+// dropRelay ends a relay whose replies are no longer needed.
+func (e *Engine) dropRelay(r *relay) {
+	for _, sub := range r.subRequests {
+		r.detach(sub)
+	}
+	delete(e.relays, r.id)
+	e.emit(CancelRelay{Relay: r.id})
+}
+
 // cancelRelays ends the open relays of a query that has ended.
 func (e *Engine) cancelRelays(q *query) {
 	for _, r := range q.relays {
-		for _, sub := range r.subRequests {
-			if sub.relay == r {
-				sub.relay = nil
-			}
-		}
-		delete(e.relays, r.id)
-		e.emit(CancelRelay{Relay: r.id})
+		e.dropRelay(r)
 	}
 	q.relays = nil
 }
--- a/core/serve/relayed.go
+++ b/core/serve/relayed.go
@@ -27,17 +27,42 @@
 	}
 	q.timer.Owner.query = q
 	for _, name := range w.Shards {
-		q.addSubRequest(e.service(name))
+		q.addSubRequest(e.relayedService(name))
 	}
 	e.querySeq++
 	q.seq = e.querySeq
 	e.queries[w.Request.ID] = q
 	for _, sub := range q.subRequests {
+		if !e.knowsService(sub.service.name) {
+			e.failSubRequest(now, sub)
+			continue
+		}
 		e.startOrQueue(now, sub)
 	}
 	e.advance(now, q)
 }
 
+// knowsService reports whether the configuration of this VM names a service. The
+// configuration of the VM that relays the work may be newer or older; without the
+// service's limits on connections and cold targets this VM refuses the shard, and the
+// other VM runs it.
+func (e *Engine) knowsService(name string) bool {
+	if e.config == nil {
+		return false
+	}
+	_, listed := e.config.Services[name]
+	return listed || e.config.IsRouted(name)
+}
+
+// relayedService returns the service of a relayed shard. It keeps no state of one that
+// the configuration of this VM does not name.
+func (e *Engine) relayedService(name string) *service {
+	if e.knowsService(name) {
+		return e.service(name)
+	}
+	return &service{name: name}
+}
+
 // advanceRelayed replies when all shards have ended, once when the reply is
 // due, and then with each shard that ends.
 func (e *Engine) advanceRelayed(now time.Time, q *query) {
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -67,7 +67,8 @@
 	conns           []*conn
 	nextConnectAt   time.Time // no connection is opened before it
 	connectFailures int
-	connected       bool // a connection is open and reaches the right process
+	connected       bool      // a connection is open and reaches the right process
+	closedBy        ConnCause // end of the last connection, if none was opened since
 
 	running             []*attempt
 	startedAt           time.Time // last start of an attempt
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -137,6 +137,7 @@
 			c.start(&a)
 		}
 	case serve.OpenConn:
+		t.metrics.RecordConnection(a.Cause.String())
 		t.conns[a.Conn] = dialTarget(a.Conn, a.Address, t.codec, t.inbox, t.memory)
 	case serve.CloseConn:
 		if c := t.conns[a.Conn]; c != nil {
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -8,17 +8,20 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/anvilfork/anvilfork/core/serve"
 	"github.com/anvilfork/anvilfork/rpc/peer"
 )
 
-// fakeCodec stands in for the platform's codec. It can only pack.
+// fakeCodec stands in for the platform's codec. It can only pack and unpack.
 type fakeCodec struct{ CallerCodec }
 
 func (fakeCodec) Pack(*serve.Request) []byte { return []byte("packed") }
 
+func (fakeCodec) Unpack(p []byte) (any, error) { return string(p), nil }
+
 // fakeRelayServer stands in for another VM and gives the replies of a test.
 type fakeRelayServer struct {
 	start, rest func() (*peer.RelayReply, error)
@@ -96,3 +99,22 @@
 		})
 	}
 }
+
+// Guards against bounds of a query that are lost on the way to the VM that runs it, and
+// against a message that VMs of an earlier build can't read: a whole fan-out is sent in
+// the same fields as the shards of another zone.
+func TestRelayedWorkOnTheWire(t *testing.T) {
+	work := &serve.RelayedWork{
+		Route: "all", Shards: []string{"a", "b"}, TopK: 3, Request: &serve.Request{CallerRequestID: "id", Fingerprint: 7},
+		Workspace: "w", Priority: 2, TimeLeft: 250 * time.Millisecond, ReplyTimeout: 20 * time.Millisecond,
+	}
+	encoded, err := proto.Marshal(encodeWork(work, []byte("packed")))
+	assert.NilError(t, err)
+	var received peer.RelayRequest
+	assert.NilError(t, proto.Unmarshal(encoded, &received))
+	decoded, err := decodeWork(&received, fakeCodec{})
+	assert.NilError(t, err)
+	work.Request.Payload = "packed"
+	assert.DeepEqual(t, decoded, work)
+	assert.Equal(t, received.ProtoReflect().Descriptor().Fields().Len(), 10, "optional fields must be added to this test")
+}
--- a/metrics/expose.go
+++ b/metrics/expose.go
@@ -34,6 +34,7 @@
 	"partial_answers_total":          "Answered queries with coverage below 1.",
 	"query_duration_seconds":         "Time from the admission of a query to its answer.",
 	"coverage_ratio":                 "Groups answered of the groups of a query.",
+	"connections_opened_total":       "Connections to targets that this VM opened, by cause.",
 	"workspace_answered_ratio":       "Queries answered in the last minute, of those not refused for a reason on the caller's side.",
 	"workspace_offered_per_second":   "Queries that a workspace sent to this VM in the last minute, refused ones included.",
 	"worst_workspace_answered_ratio": "Smallest workspace_answered_ratio; 1 without queries.",
@@ -43,14 +44,14 @@
 // encodeSeries joins the name and the labels of a series into its name in the
 // registry.
 func encodeSeries(name string, l Labels) string {
-	return strings.Join([]string{name, l.Service, l.Workspace, l.Code}, labelSeparator)
+	return strings.Join([]string{name, l.Service, l.Workspace, l.Code, l.Cause}, labelSeparator)
 }
 
 // decodeSeries splits a name that encodeSeries returned, without empty labels.
 func decodeSeries(full string) (string, []*dto.LabelPair) {
 	parts := strings.Split(full, labelSeparator)
 	var pairs []*dto.LabelPair
-	for i, label := range []string{"service", "workspace", "code"} {
+	for i, label := range []string{"service", "workspace", "code", "cause"} {
 		if i+1 < len(parts) && parts[i+1] != "" {
 			pairs = append(pairs, &dto.LabelPair{Name: proto.String(label), Value: proto.String(parts[i+1])})
 		}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -23,6 +23,7 @@
 	Service   string
 	Workspace string
 	Code      string
+	Cause     string
 }
 
 // seriesKey identifies a series.
@@ -59,6 +60,11 @@
 // recording task was full. Any task may call it.
 func (r *Registry) RecordOverload() { r.overloads.Inc(1) }
 
+// RecordConnection counts a connection to a target that is opened for a cause.
+func (r *Registry) RecordConnection(cause string) {
+	r.counter("connections_opened_total", Labels{Cause: cause}).Inc(1)
+}
+
 // Query is a finished query as it is recorded.
 type Query struct {
 	Service   string
@@ -112,7 +118,7 @@
 }
 
 // seriesName returns the encoded name of a series. Beyond maxSeries, further label
-// sets share one series for each metric and code, with the other labels set to
+// sets share one series for each metric, code and cause, with the other labels set to
 // "other".
 func (r *Registry) seriesName(name string, l Labels) string {
 	k := seriesKey{name, l}
@@ -120,7 +126,7 @@
 		return full
 	}
 	if len(r.names) >= maxSeries {
-		return encodeSeries(name, Labels{Service: "other", Workspace: "other", Code: l.Code})
+		return encodeSeries(name, Labels{Service: "other", Workspace: "other", Code: l.Code, Cause: l.Cause})
 	}
 	full := encodeSeries(name, l)
 	r.names[k] = full
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -50,11 +50,16 @@
 	r.Record(epoch, refusedQuery("large", outcome.CodeRateExceeded))
 	r.Record(epoch, refusedQuery("small", outcome.CodeNoHome))
 	r.RecordOverload()
+	r.RecordConnection("spare")
+	r.RecordConnection("spare")
+	r.RecordConnection("loss")
 	r.Refresh(epoch)
 	assert.DeepEqual(t, samples(exposition(t, r)), []string{
 		`anvilfork_answers_total{service="mats",workspace="large"} 1`,
 		`anvilfork_attempts_total{service="mats",workspace="large"} 11`,
 		`anvilfork_attempts_total{service="mats",workspace="small"} 0`,
+		`anvilfork_connections_opened_total{cause="loss"} 1`,
+		`anvilfork_connections_opened_total{cause="spare"} 2`,
 		`anvilfork_coverage_ratio{service="mats",workspace="large",quantile="0.5"} 1`,
 		`anvilfork_coverage_ratio{service="mats",workspace="large",quantile="0.9"} 1`,
 		`anvilfork_coverage_ratio{service="mats",workspace="large",quantile="0.99"} 1`,
@@ -94,6 +99,7 @@
 	partial.Coverage = 0.5
 	r.Record(epoch, partial)
 	r.Record(epoch, refusedQuery("a", outcome.CodeNoHome))
+	r.RecordConnection("spare")
 	r.Refresh(epoch)
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(strings.NewReader(exposition(t, r)))
