Give each missing shard of an answer its cause

Each missing shard now has one cause: no target, failed attempts, slow targets, queued, late although hedged, a relay without reply, a hedge without budget or without a free target, or late before a hedge was due. The causes are in the log line of the answer, in the order of the missing shards, and in missing_shards_total by route and cause. They are computed only for answers that lack shards.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -305,9 +305,11 @@
 		t := e.pickTarget(now, sub, true)
 		if t == nil {
 			e.connectForHedge(now, sub)
+			e.postponeHedge(now, sub, MissingHedgeTarget)
+			continue
 		}
-		if t == nil || !sub.service.budget.TakeHedge() {
-			sub.hedgeAt = now.Add(max(e.route(q.route.Name).latency.P50/hedgeRecheckDivisor, minHedgeWait))
+		if !sub.service.budget.TakeHedge() {
+			e.postponeHedge(now, sub, MissingHedgeBudget)
 			continue
 		}
 		e.recordHedge(now, sub, t.reg.ID)
@@ -323,6 +325,12 @@
 	return sub.pending() == 1 && !sub.hedged && sub.possibleRuns+sub.pending() < sub.query.route.MaxAttempts && !e.tooLateToStart(now, sub.query, 0)
 }
 
+// postponeHedge tries a hedge that could not start again after a while.
+func (e *Engine) postponeHedge(now time.Time, sub *subRequest, denied MissingCause) {
+	sub.hedgeDenied = denied
+	sub.hedgeAt = now.Add(max(e.route(sub.query.route.Name).latency.P50/hedgeRecheckDivisor, minHedgeWait))
+}
+
 // recordHedge records that a sub-request gets a second attempt at a target or VM.
 func (e *Engine) recordHedge(now time.Time, sub *subRequest, at string) {
 	sub.hedged = true
--- a/core/serve/handoff.go
+++ b/core/serve/handoff.go
@@ -125,17 +125,24 @@
 		return
 	}
 	for _, p := range e.planHandOffs(now, q, due) {
-		part := slices.DeleteFunc(p.subRequests, func(sub *subRequest) bool { return !sub.service.budget.TakeHedge() })
-		if len(part) == 0 {
-			continue
-		}
-		for _, sub := range part {
-			e.recordHedge(now, sub, string(p.vm.ID))
+		part := slices.DeleteFunc(p.subRequests, func(sub *subRequest) bool { return !e.takeRelayedHedge(now, sub, p.vm) })
+		if len(part) > 0 {
+			e.startRelay(now, q, p.vm, part, true)
 		}
-		e.startRelay(now, q, p.vm, part, true)
 	}
 }
 
+// takeRelayedHedge takes a hedge at another VM from the retry budget. It postpones the
+// hedge if nothing is left.
+func (e *Engine) takeRelayedHedge(now time.Time, sub *subRequest, vm mesh.Node) bool {
+	if !sub.service.budget.TakeHedge() {
+		e.postponeHedge(now, sub, MissingHedgeBudget)
+		return false
+	}
+	e.recordHedge(now, sub, string(vm.ID))
+	return true
+}
+
 // connectForHedge opens a connection for a hedge that found no target with a free one,
 // on a VM that keeps none.
 func (e *Engine) connectForHedge(now time.Time, sub *subRequest) {
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -85,7 +85,8 @@
 	Relayed           int          // shards that were relayed to other VMs
 	RelayedTo         []fleet.VMID // VMs that the shards were relayed to
 	MissingShards     []string
-	EndedEarly        bool // answered without the late shards, as the objective was near
+	MissingCauses     []MissingCause // of MissingShards, in their order; nil for a refusal
+	EndedEarly        bool           // answered without the late shards, as the objective was near
 }
 
 // ResultKind classifies the end of an attempt.
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -58,7 +58,8 @@
 	delivered    int // attempts that reached targets, including refused ones
 	possibleRuns int // ended attempts that may have run
 	hedged       bool
-	hedgeAt      time.Time // when a hedge is due; zero if none is
+	hedgeAt      time.Time    // when a hedge is due; zero if none is
+	hedgeDenied  MissingCause // why the last hedge that was due could not start; zero if none was
 	queued       bool
 	done         bool
 	response     *Response      // last answer of a target, successful or not
@@ -223,6 +224,9 @@
 // not run gives its quota back.
 func (e *Engine) finish(now time.Time, q *query, a *Answer) {
 	endedEarly := a.Merged != nil && q.openSubRequests() > 0
+	if a.Merged != nil && a.Merged.MissingShards > 0 {
+		a.Trace.MissingCauses = e.missingCauses(now, q)
+	}
 	e.removeQuery(now, q, lingerTime)
 	if a.Refusal != nil && a.Refusal.Outcome == outcome.NotRun {
 		q.charge.refund()
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -191,7 +191,7 @@
 	tr := &a.Trace
 	q := metrics.Query{
 		Service: tr.Route, Workspace: tr.Workspace, Duration: tr.Duration, Coverage: 1,
-		Shards: tr.Shards, Attempts: tr.Attempts, Hedges: tr.Hedges, Refusal: a.Refusal,
+		Shards: tr.Shards, Attempts: tr.Attempts, Hedges: tr.Hedges, Refusal: a.Refusal, MissingCauses: causeNames(tr.MissingCauses),
 	}
 	if a.Merged != nil && tr.Shards > 0 {
 		q.Coverage = 1 - float64(a.Merged.MissingShards)/float64(tr.Shards)
@@ -231,12 +231,27 @@
 	case a.Merged != nil:
 		line = line.Str("outcome", "answered").Int("shards", tr.Shards).Int("missing_shards", a.Merged.MissingShards).
 			Strs("missing", tr.MissingShards).Bool("cut_at_objective", tr.EndedEarly)
+		if len(tr.MissingCauses) > 0 {
+			line = line.Strs("missing_causes", causeNames(tr.MissingCauses))
+		}
 	default:
 		line = line.Str("outcome", "answered").Int("status", a.Response.Status)
 	}
 	line.Msg("request ended")
 }
 
+// causeNames returns the names of causes, nil if there are none.
+func causeNames(causes []serve.MissingCause) []string {
+	if len(causes) == 0 {
+		return nil
+	}
+	names := make([]string, len(causes))
+	for i, c := range causes {
+		names[i] = c.String()
+	}
+	return names
+}
+
 // joinVMs returns the ids separated by commas.
 func joinVMs(ids []fleet.VMID) string {
 	names := make([]string, len(ids))
--- a/metrics/expose.go
+++ b/metrics/expose.go
@@ -34,6 +34,7 @@
 	"partial_answers_total":          "Answered queries with coverage below 1.",
 	"query_duration_seconds":         "Time from the admission of a query to its answer.",
 	"coverage_ratio":                 "Groups answered of the groups of a query.",
+	"missing_shards_total":           "Shards that answers to fan-outs lack, by cause.",
 	"connections_opened_total":       "Connections to targets that this VM opened, by cause.",
 	"workspace_answered_ratio":       "Queries answered in the last minute, of those not refused for a reason on the caller's side.",
 	"workspace_offered_per_second":   "Queries that a workspace sent to this VM in the last minute, refused ones included.",
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -75,6 +75,8 @@
 	Attempts  int     // attempts at targets that it caused
 	Hedges    int
 	Refusal   *outcome.Refusal // nil when the query was answered
+
+	MissingCauses []string // cause of each shard that the answer lacks, where it is known
 }
 
 // Record adds a query that finished at now.
@@ -103,6 +105,9 @@
 	if q.Coverage < 1 {
 		r.counter("partial_answers_total", l).Inc(1)
 	}
+	for _, cause := range q.MissingCauses {
+		r.counter("missing_shards_total", Labels{Service: q.Service, Cause: cause}).Inc(1)
+	}
 	r.histogram("query_duration_seconds", l).Update(q.Duration.Microseconds())
 	r.histogram("coverage_ratio", l).Update(int64(q.Coverage * ratioScale))
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -96,7 +96,7 @@
 func TestSeriesAreDescribed(t *testing.T) {
 	r := New(epoch)
 	partial := answeredQuery("a")
-	partial.Coverage = 0.5
+	partial.Coverage, partial.MissingCauses = 0.5, []string{"late"}
 	r.Record(epoch, partial)
 	r.Record(epoch, refusedQuery("a", outcome.CodeNoHome))
 	r.RecordConnection("spare")
@@ -117,6 +117,18 @@
 	}
 }
 
+// Guards against missing shards whose cause is not counted.
+func TestMissingShardsAreCountedByCause(t *testing.T) {
+	r := New(epoch)
+	partial := answeredQuery("a")
+	partial.Coverage, partial.MissingCauses = 0.7, []string{"late", "queued", "late"}
+	r.Record(epoch, partial)
+	text := exposition(t, r)
+	for _, want := range []string{`{service="mats",cause="late"} 2`, `{service="mats",cause="queued"} 1`} {
+		assert.Assert(t, strings.Contains(text, "anvilfork_missing_shards_total"+want), text)
+	}
+}
+
 // Guards against a badly served workspace that is hidden by well-served ones,
 // against a workspace over its rate that counts as badly served, and against a
 // bad ratio that stays after its queries left the window.
