Open few connections for queued work, and keep pools connected in the own zone

VMs with callers also kept, and opened again and again, idle connections to pooled targets of other zones that no work went to. Change: for queued work at most two connections a request are opened at a time, those of the own zone first and beginning with another target for each query; spare connections of a service without shards go to the targets of the zone, and to eight if it has fewer.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -48,9 +48,7 @@
 		return
 	}
 	sub.service.enqueue(sub)
-	for _, t := range sub.service.targets {
-		e.ensureSpareConn(now, t)
-	}
+	e.connectForQueue(now, sub.service, sub.query.seq)
 	e.startQueued(now, sub.service)
 }
 
--- a/core/serve/conns.go
+++ b/core/serve/conns.go
@@ -110,15 +110,19 @@
 	if t.isLeaving() && t.service.hasStayingTarget(now) {
 		return false
 	}
-	if len(t.service.queue) > 0 {
+	if len(t.service.queue) > 0 && t.service.queueNeedsConns(now) {
 		return true
 	}
-	return e.view.IsActive() && t.service.routed && (!t.service.isShard || now.Sub(t.startedAt) < spareRetention || e.isSpareTarget(now, t))
+	return e.view.IsActive() && t.service.routed && (now.Sub(t.startedAt) < spareRetention || e.isSpareTarget(now, t))
 }
 
-// isSpareTarget reports whether a target is one of the spareTargets of its service:
-// the sound ones in this zone come first.
+// isSpareTarget reports whether a target is one of those of its service that spare
+// connections are kept to without work: spareTargets of a shard, and of other services
+// all of this zone, or poolSpareTargets. The sound ones in this zone come first.
 func (e *Engine) isSpareTarget(now time.Time, t *target) bool {
+	if !t.service.isShard && t.reg.Zone == e.settings.Zone {
+		return true
+	}
 	ahead, passed := 0, false
 	for _, o := range t.service.targets {
 		if o == t {
@@ -130,7 +134,10 @@
 			ahead++
 		}
 	}
-	return ahead < spareTargets
+	if t.service.isShard {
+		return ahead < spareTargets
+	}
+	return ahead < poolSpareTargets
 }
 
 func (e *Engine) connOpened(now time.Time, ev ConnOpened) {
--- /dev/null
+++ b/core/serve/queueconns.go
@@ -0,0 +1,48 @@
+package serve
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// queueConnsPerRequest is the number of connections that are opened at the same
+	// time for each queued request of a service, so that one that is slow to open does
+	// not hold the request up.
+	queueConnsPerRequest = 2
+	// poolSpareTargets is the number of targets of a service without shards that
+	// spare connections are kept to if this zone has fewer. Work leaves the zone only
+	// when its slots are taken, and targets close connections that stay idle.
+	poolSpareTargets = 8
+)
+
+// connectForQueue opens connections for the queued work of a service: to targets of
+// this zone first, and beginning with another one for each query, so that the requests
+// of many VMs spread over the targets.
+func (e *Engine) connectForQueue(now time.Time, s *service, seq uint64) {
+	n := len(s.targets)
+	for _, near := range []bool{true, false} {
+		for i := range n {
+			t := s.targets[(i+int(seq))%n]
+			if (t.reg.Zone == e.settings.Zone) == near {
+				e.ensureSpareConn(now, t)
+			}
+		}
+	}
+}
+
+// queueNeedsConns reports whether more connections are to be opened for the queued work
+// of a service. Those that are slow to open don't count.
+func (s *service) queueNeedsConns(now time.Time) bool {
+	opening := 0
+	for _, t := range s.targets {
+		if !t.connectTimedOut(now) && slices.ContainsFunc(t.conns, func(c *conn) bool { return !c.open }) {
+			opening++
+		}
+	}
+	limit := queueConnsPerRequest * len(s.queue)
+	if s.isShard {
+		limit = max(limit, spareTargets)
+	}
+	return opening < limit
+}
--- /dev/null
+++ b/core/serve/queueconns_test.go
@@ -0,0 +1,53 @@
+package serve
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/anvilfork/anvilfork/core/mesh"
+)
+
+// poolHarness returns a harness whose VM gets few callers, with many targets of the
+// service "single" in three zones.
+func poolHarness(t *testing.T, targets int) *harness {
+	h := newHarness(t)
+	for n := replicas; n < targets; n++ {
+		tg := h.addTarget("single", n)
+		tg.Zone = h.targets["single-"+string(rune('0'+n%replicas))].Zone
+	}
+	h.step(FleetChanged{View: &mesh.View{Confirmed: h.now, Self: mesh.Node{ID: "vm"}, Active: []mesh.Node{{ID: "busy", Peer: "busy"}}, Sharers: 1}})
+	h.publish()
+	for range 30 { // idle connections close
+		h.advance(100 * time.Millisecond)
+		h.step(FleetChanged{View: &mesh.View{Confirmed: h.now, Self: mesh.Node{ID: "vm"}, Active: []mesh.Node{{ID: "busy", Peer: "busy"}}, Sharers: 1}})
+	}
+	assert.Equal(t, len(h.engine.conns), 0)
+	return h
+}
+
+// Guards against a VM with few callers that opens a connection to every target of a
+// service for a single request.
+func TestRequestAtAnInactiveVMOpensFewConnections(t *testing.T) {
+	h := poolHarness(t, 24)
+	id := h.submit("/read/x")
+	assert.Equal(t, len(h.connecting), queueConnsPerRequest)
+	for _, c := range h.connecting {
+		assert.Equal(t, h.everKnown[c.Address].Zone, "z0", "a target of another zone")
+	}
+	h.openAll()
+	h.answer(h.takeAttempt("single"), record("a"))
+	assert.Assert(t, h.answers[id].Response != nil)
+}
+
+// Guards against a request that waits for targets that do not accept connections while
+// others would.
+func TestFaultConnectionsOfQueuedWorkHang(t *testing.T) {
+	h := poolHarness(t, 24)
+	h.submit("/read/x")
+	hanging := len(h.connecting)
+	h.advance(connectTimeout + 2*maintenanceInterval)
+	assert.Assert(t, len(h.connecting) > hanging, "no other target is tried")
+	assert.Assert(t, len(h.connecting) <= 3*hanging, "%d connections for one request", len(h.connecting))
+}
