Estimate the time of an attempt from the pace that targets state

Cause: a load header with four figures was discarded whole, so that also the load in it was lost, and a target that became slow was noticed only by slow answers. Change: parseLoad reads three or four figures; an invalid pace leaves the load valid and is a LoadError, logged once for each target and counted in the dump. core/serve/estimate.go keeps the stated pace, its mean and a slowness measured against pace x median. attemptTime is used by the choice of a target, the expected wait, the hedge delay, the cold slowdown and the check for stalled targets. A target without the figure has pace 1. The tests of core/serve that were there pass unchanged.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -62,6 +62,7 @@
 		e.finish(now, q, a)
 		return
 	}
+	hedgeWait := e.hedgeWaitAt(now, sub, t)
 	e.attemptSeq++
 	a := &attempt{id: e.attemptSeq, subRequest: sub, route: e.route(q.route.Name), fingerprint: q.request.Fingerprint,
 		target: t, conn: t.idleConn(now), started: now}
@@ -78,7 +79,7 @@
 		q.crossZone++
 	}
 	if !hedge && q.route.Idempotent {
-		sub.hedgeAt = now.Add(e.hedgeWait(now, q))
+		sub.hedgeAt = now.Add(hedgeWait)
 	}
 	left := max(q.deadline.Sub(now), time.Millisecond)
 	e.emit(StartAttempt{Attempt: a.id, Conn: a.conn.id, Request: q.request, Target: t.reg.ID, Verified: a.conn.verified, Workspace: q.workspaceName, TimeLeft: left})
@@ -157,16 +158,11 @@
 	if ev.Backoff > 0 {
 		e.startBackoff(now, t, ev.Backoff)
 	}
-	if ev.Load != nil {
-		t.load, t.loadAt = *ev.Load, now
-		t.load.Running = max(t.load.Running-1, 0) // the target still counted the request that it has answered
-	}
+	e.recordLoad(now, t, ev)
 	switch {
 	case ev.Kind == Answered && ev.Response.Success:
 		e.targetSucceeded(now, t)
-		a.route.latency.Record(elapsed)
-		t.service.recordAttemptTime(elapsed)
-		t.recordSlowness(now, float64(elapsed)/float64(max(a.route.latency.P50, time.Millisecond)))
+		a.recordLatency(now, elapsed)
 		if t.load.Queued <= maxQueueFactor*t.slots() {
 			t.limit = min(t.limit+limitIncrease, float64(e.maxConns(t.service)))
 		}
--- a/core/serve/dump.go
+++ b/core/serve/dump.go
@@ -36,7 +36,11 @@
 	Conns        int     `json:"connections"`
 	Running      int     `json:"attempts_in_flight"`
 	Limit        float64 `json:"limit"`
-	Slowness     float64 `json:"slowness"` // attempt latency as a multiple of the route's median
+	Slowness     float64 `json:"slowness"`      // attempt latency as a multiple of the route's median, without the pace
+	Pace         float64 `json:"pace"`          // last stated; zero if none
+	PaceAgeMs    int64   `json:"pace_age_ms"`   // time since it was stated
+	ExpectedPace float64 `json:"expected_pace"` // used for attempts that start now
+	InvalidLoads int     `json:"invalid_loads"` // answers whose stated load was invalid
 	FailureRatio float64 `json:"failure_ratio"`
 }
 
@@ -64,6 +68,7 @@
 			ID: t.reg.ID, Address: t.reg.Address, Zone: t.reg.Zone,
 			Usable: t.usable(now), Ejected: t.ejected(now), Stalled: t.stalled(now), Cold: now.Before(t.coldUntil),
 			Conns: len(t.conns), Running: len(t.running), Limit: t.limit, Slowness: t.slowness, FailureRatio: t.failureRatio,
+			Pace: t.pace, PaceAgeMs: t.paceAge(now).Milliseconds(), ExpectedPace: t.expectedPace(now), InvalidLoads: t.invalidLoads,
 		})
 	}
 	return d
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -73,6 +73,7 @@
 // routeState holds the measurements of a route.
 type routeState struct {
 	latency     latency.Estimate   // of single attempts
+	atPace1     latency.Estimate   // of single attempts, divided by the pace of their target
 	maxTimeout  time.Duration      // longest timeout that a caller of the route has sent to this VM, in whole milliseconds
 	splitCredit map[string]float64 // by service: weight not yet used by a split route
 }
@@ -231,7 +232,7 @@
 func (e *Engine) route(name string) *routeState {
 	r := e.routes[name]
 	if r == nil {
-		r = &routeState{latency: latency.New()}
+		r = &routeState{latency: latency.New(), atPace1: latency.New()}
 		e.routes[name] = r
 	}
 	return r
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -112,6 +112,7 @@
 // Load is the load that a target reports with an answer, in requests.
 type Load struct {
 	Running, Queued, Slots int
+	Pace                   float64 // how long work takes there now, 1 being as usual; zero if it is not stated
 }
 
 // RelayedWork is the part of a fan-out that a VM runs for another one which has
@@ -167,7 +168,8 @@
 	Conn        ConnID
 	Kind        ResultKind
 	Response    *Response
-	Load        *Load
+	Load        *Load         // nil if the target stated none
+	InvalidLoad string        // why the stated load, or a part of it, is not used; empty if it is valid
 	Cause       string        // error of a failed attempt; empty if there is none
 	Reusable    bool          // the connection can carry another request
 	IdleTimeout time.Duration // idle timeout that the target states; zero if it states none
@@ -330,6 +332,7 @@
 	LogTargetLeaving  LogEventName = "target_leaving"
 	LogTargetBackoff  LogEventName = "target_backoff"
 	LogTargetCrashed  LogEventName = "target_crashed"
+	LogInvalidLoad    LogEventName = "target_load_invalid"
 	LogConfigApplied  LogEventName = "config_in_force"
 )
 
--- a/core/serve/pick.go
+++ b/core/serve/pick.go
@@ -53,7 +53,7 @@
 func (e *Engine) bestTarget(now time.Time, sub *subRequest, allowTried bool) *target {
 	var best, ejected, leaving *target
 	var bestCost time.Duration
-	median := e.route(sub.query.route.Name).latency.P50
+	median := e.route(sub.query.route.Name).atPace1.P50
 	crossZone := crossZoneCost(sub.query.route, median)
 	n := len(sub.service.targets)
 	for i := range n {
@@ -84,23 +84,15 @@
 	return best
 }
 
-// cost estimates the latency of an attempt at a target, plus penalties for
-// failures, stalls and other zones. median is that of the route, and crossZone is
-// added for a target of another zone.
+// cost estimates the latency of an attempt at a target, plus penalties for taken
+// slots, failures, stalls and other zones. median is that of the route at pace 1, and
+// crossZone is added for a target of another zone.
 func (e *Engine) cost(now time.Time, t *target, median, crossZone time.Duration) time.Duration {
-	unit := float64(median) * t.expectedSlowness(now)
-	if now.Before(t.coldUntil) {
-		unit *= coldSlowdown
-	}
-	load := max(float64(len(t.running)), 0) + t.otherVMsLoad(now)
 	slots := float64(t.slots())
-	cost := unit * (1 + inFlightCostFactor*min(load, slots)/slots)
-	if load >= slots {
-		cost += unit * (load + 1 - slots) / slots
-	}
+	cost := t.runTime(now, median) * inFlightCostFactor * min(t.requestsAhead(now), slots) / slots
 	t.decayFailures(now)
 	cost += t.failureRatio * failureCostFactor * float64(median)
-	total := time.Duration(cost)
+	total := e.attemptTime(now, t, median) + time.Duration(cost)
 	if t.stalled(now) {
 		total += stallPenalty
 	}
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -24,6 +24,7 @@
 	queue       []*subRequest // ordered by priority, then by admission
 	budget      *retry.Budget
 	meanAttempt time.Duration // mean latency of attempts
+	meanAtPace1 time.Duration // the same, divided by the pace of the target
 }
 
 // service returns the service of a name. It creates the state of one that is
@@ -124,7 +125,7 @@
 	if ahead == 0 {
 		return 0, true
 	}
-	return time.Duration(float64(ahead+1) / float64(capacity) * float64(s.meanAttempt)), true
+	return time.Duration(float64(ahead+1) / float64(capacity) * float64(s.expectedAttempt(now))), true
 }
 
 func (s *service) recordAttemptTime(d time.Duration) {
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -72,8 +72,7 @@
 	running             []*attempt
 	startedAt           time.Time // last start of an attempt
 	limit               float64
-	slowness            float64 // mean latency of attempts as a multiple of their route's median
-	sampleAt            time.Time
+	speed                       // how fast the target works
 	failureRatio        float64 // decaying ratio of failed attempts
 	failuresDecayedAt   time.Time
 	consecutiveFailures int
@@ -210,27 +209,6 @@
 	}
 }
 
-// recordSlowness records the latency of an attempt as a multiple of the route's
-// median. Its effect is capped at maxSlowness, since an attempt that met a
-// pause of the target says nothing about the next ones.
-func (t *target) recordSlowness(now time.Time, ratio float64) {
-	ratio = min(ratio, maxSlowness)
-	if t.sampleAt.IsZero() || now.Sub(t.sampleAt) > slownessValidity {
-		t.slowness = ratio
-	}
-	t.sampleAt = now
-	t.slowness += (ratio - t.slowness) / 8
-}
-
-// expectedSlowness returns the mean slowness of recent attempts. It is 1
-// without recent samples, so that a target that was slow is tried again.
-func (t *target) expectedSlowness(now time.Time) float64 {
-	if t.sampleAt.IsZero() || now.Sub(t.sampleAt) > slownessValidity {
-		return 1
-	}
-	return t.slowness
-}
-
 // otherVMsLoad estimates the number of requests of other VMs at the target from
 // its last load report, whose weight declines with its age.
 func (t *target) otherVMsLoad(now time.Time) float64 {
@@ -246,7 +224,7 @@
 // nothing since the attempt began: it pauses, or its connections carry no data.
 func (t *target) stalled(now time.Time) bool {
 	for _, a := range t.running {
-		if now.Sub(a.started) > stallFactor*a.route.latency.P95 && !t.answeredAt.After(a.started) {
+		if float64(now.Sub(a.started)) > stallFactor*float64(a.route.atPace1.P95)*t.expectedPace(now) && !t.answeredAt.After(a.started) {
 			return true
 		}
 	}
