Spread work by the pace of targets and try slow ones again

Cause: VMs that see the same pace choose the same target, and a target whose mean pace was high stayed out after it had recovered: its estimate went back to the mean within some 100 ms of each fast answer.

--- a/core/serve/estimate.go
+++ b/core/serve/estimate.go
@@ -16,9 +16,8 @@
 	// mean: on some days the pace changes within 600 ms.
 	paceHalfLife = 300 * time.Millisecond
 	// meanPacePeriod is the time over which the pace is averaged. A figure counts for
-	// maxPaceSpan of it at most: nothing is known about a longer silence.
+	// the time since the one before, up to silenceTolerance.
 	meanPacePeriod = 10 * time.Second
-	maxPaceSpan    = 600 * time.Millisecond
 	// A target that was not heard from for silenceTolerance is expected to be faster
 	// by half for each optimismHalfLife, down to minSilentPace, so that it is tried
 	// again whatever it stated last.
@@ -38,8 +37,6 @@
 	pace     float64   // last stated pace, bounded; zero if the last answer had none
 	paceAt   time.Time
 	meanPace float64
-	// invalidLoads counts the answers whose stated load was invalid.
-	invalidLoads int
 }
 
 // usablePace returns a stated pace within its bounds, or zero if it is not stated or
@@ -65,7 +62,11 @@
 		s.slowness /= pace
 		s.meanPace = pace
 	default:
-		span := min(max(now.Sub(s.paceAt), 0), maxPaceSpan)
+		span := s.paceAge(now)
+		if span > silenceTolerance {
+			// A mean from before a silence would keep a target out that has recovered.
+			s.meanPace, span = min(s.meanPace, max(s.expectedPace(now), pace)), silenceTolerance
+		}
 		s.meanPace += (pace - s.meanPace) * (1 - math.Exp(-span.Seconds()/meanPacePeriod.Seconds()))
 	}
 	s.pace, s.paceAt = pace, now
@@ -151,29 +152,6 @@
 	return unit
 }
 
-// requestsAhead estimates how many requests the target has now.
-func (t *target) requestsAhead(now time.Time) float64 {
-	return float64(len(t.running)) + t.otherVMsLoad(now)
-}
-
-// recordLoad records the load and the pace that an answer states. An invalid load is
-// logged when it is the first one since the target was added.
-func (e *Engine) recordLoad(now time.Time, t *target, ev AttemptDone) {
-	if ev.InvalidLoad != "" {
-		t.invalidLoads++
-		if t.invalidLoads == 1 {
-			e.emit(LogEvent{Event: LogInvalidLoad, Service: t.service.name, Target: t.reg.ID, Cause: ev.InvalidLoad, Count: 1})
-		}
-	}
-	if ev.Load != nil {
-		t.load, t.loadAt = *ev.Load, now
-		t.load.Running = max(t.load.Running-1, 0) // the target still counted the request that it has answered
-		t.statePace(now, ev.Load.Pace)
-	} else if ev.Kind == Answered {
-		t.statePace(now, 0)
-	}
-}
-
 // recordLatency records the latency of an attempt that was answered, in the
 // measurements of its route, service and target.
 func (a *attempt) recordLatency(now time.Time, latency time.Duration) {
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -79,10 +79,9 @@
 	ejections           int
 	ejectedUntil        time.Time
 	answeredAt          time.Time
-	load                Load
-	loadAt              time.Time
-	connsLostAt         time.Time // last loss of a connection with an attempt in flight
-	lostFingerprints    []uint64  // requests that were in flight on lost connections
+	reportedLoad
+	connsLostAt      time.Time // last loss of a connection with an attempt in flight
+	lostFingerprints []uint64  // requests that were in flight on lost connections
 }
 
 // conn is one connection to a target.
@@ -209,17 +208,6 @@
 	}
 }
 
-// otherVMsLoad estimates the number of requests of other VMs at the target from
-// its last load report, whose weight declines with its age.
-func (t *target) otherVMsLoad(now time.Time) float64 {
-	age, validity := now.Sub(t.loadAt), max(loadValidityAttempts*t.service.meanAttempt, minLoadValidity)
-	if t.loadAt.IsZero() || age >= validity {
-		return 0
-	}
-	others := t.load.Running + t.load.Queued - len(t.running)
-	return float64(max(others, 0)) * (1 - age.Seconds()/validity.Seconds())
-}
-
 // stalled reports whether an attempt is overdue and the target has answered
 // nothing since the attempt began: it pauses, or its connections carry no data.
 func (t *target) stalled(now time.Time) bool {
