Limit attempts by the queue that targets report

Cause: the limit on attempts at a target grew to the connections of the VM while the reported queue was at most its slots, and shrank only when the target shed. Under overload work waited in the queues of targets, first come first served, while the queues of the VMs, which order it, were empty.

An answer that reports a longer queue than the slots finish within 20% of the shortest objective of the service's routes shrinks the limit in proportion to the excess, once per round trip. An answer with a short queue grows it as before, more slowly while VMs compete. Targets that report no load keep the rule that they had.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -85,8 +85,9 @@
 	Limits   Limits
 
 	routes     []*Route
-	routed     map[string]bool // services that a route names
-	shards     map[string]bool // those of them that are shards of a fan-out
+	routed     map[string]bool          // services that a route names
+	shards     map[string]bool          // those of them that are shards of a fan-out
+	objectives map[string]time.Duration // by service: the shortest objective of the routes that name it
 	byHost     map[string][]*Route
 	workspaces []*Workspace
 	byKey      map[string]*Workspace
@@ -97,10 +98,11 @@
 func NewConfig(version uint64, routes []*Route, services []Service, limits Limits, workspaces []*Workspace, keys map[string]*Workspace) *Config {
 	c := &Config{
 		Version: version, Limits: limits, routes: routes, workspaces: workspaces, byKey: keys,
-		Services: make(map[string]Service, len(services)),
-		routed:   make(map[string]bool),
-		shards:   make(map[string]bool),
-		byHost:   make(map[string][]*Route),
+		Services:   make(map[string]Service, len(services)),
+		routed:     make(map[string]bool),
+		shards:     make(map[string]bool),
+		objectives: make(map[string]time.Duration),
+		byHost:     make(map[string][]*Route),
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -115,17 +117,29 @@
 
 // addRouted records the services that a route names.
 func (c *Config) addRouted(r *Route) {
-	c.routed[r.Service] = true
+	c.addService(r, r.Service)
 	for _, w := range r.Split {
-		c.routed[w.Service] = true
+		c.addService(r, w.Service)
 	}
 	if r.FanOut != nil {
 		for _, name := range r.FanOut.Shards {
-			c.routed[name], c.shards[name] = true, true
+			c.addService(r, name)
+			c.shards[name] = true
 		}
 	}
 }
 
+func (c *Config) addService(r *Route, name string) {
+	c.routed[name] = true
+	if shortest := c.objectives[name]; r.Objective > 0 && (shortest == 0 || r.Objective < shortest) {
+		c.objectives[name] = r.Objective
+	}
+}
+
+// ShortestObjective returns the shortest objective of the routes that send requests
+// to a service, zero if none has one.
+func (c *Config) ShortestObjective(service string) time.Duration { return c.objectives[service] }
+
 // IsRouted reports whether a route sends requests to a service.
 func (c *Config) IsRouted(service string) bool { return c.routed[service] }
 
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -23,10 +23,6 @@
 	// hedgeRecheckDivisor divides the median latency: a hedge that could not
 	// start is tried again after the result.
 	hedgeRecheckDivisor = 4
-
-	// maxQueueFactor is the number of queued requests at a target, as a multiple
-	// of its slots, above which its limit does not grow.
-	maxQueueFactor = 1
 )
 
 // startOrQueue starts a sub-request on the best free target, or queues it until
@@ -144,7 +140,7 @@
 const idleUsedPercent = 80
 
 // recordResult updates the statistics of a target and its concurrency limit
-// (additive increase, multiplicative decrease) after an attempt.
+// after an attempt.
 func (e *Engine) recordResult(now time.Time, a *attempt, ev AttemptDone) {
 	t, elapsed := a.target, now.Sub(a.started)
 	if ev.Leaving {
@@ -167,15 +163,16 @@
 		a.route.latency.Record(elapsed)
 		t.service.recordAttemptTime(elapsed)
 		t.recordSlowness(now, float64(elapsed)/float64(max(a.route.latency.P50, time.Millisecond)))
-		if t.load.Queued <= maxQueueFactor*t.slots() {
-			t.limit = min(t.limit+limitIncrease, float64(e.maxConns(t.service)))
+		if ev.Load != nil {
+			t.window.recordServiceTime(elapsed, t.load, t.slots())
 		}
+		t.window.answered(now, a.started, t.load, t.slots(), t.service.objective, float64(e.maxConns(t.service)))
 		return
 	case ev.Kind == WrongProcess:
 		t.replaced, t.connected = true, false // until the next CatalogChanged
 		e.closeIdleConns(t)
 	case ev.Kind == Shed && ev.Backoff > 0: // it has said itself for how long to avoid it
-		t.limit = max(t.limit*limitDecrease, 1)
+		t.window.shed()
 	case ev.Kind == Shed:
 		e.targetShed(now, t)
 	default:
--- a/core/serve/dump.go
+++ b/core/serve/dump.go
@@ -63,7 +63,7 @@
 		d.Targets = append(d.Targets, TargetDump{
 			ID: t.reg.ID, Address: t.reg.Address, Zone: t.reg.Zone,
 			Usable: t.usable(now), Ejected: t.ejected(now), Stalled: t.stalled(now), Cold: now.Before(t.coldUntil),
-			Conns: len(t.conns), Running: len(t.running), Limit: t.limit, Slowness: t.slowness, FailureRatio: t.failureRatio,
+			Conns: len(t.conns), Running: len(t.running), Limit: t.window.limit, Slowness: t.slowness, FailureRatio: t.failureRatio,
 		})
 	}
 	return d
--- a/core/serve/publish.go
+++ b/core/serve/publish.go
@@ -15,7 +15,7 @@
 		e.config = ev.Config
 		for name, s := range e.services {
 			s.config = ev.Config.Services[name]
-			s.routed, s.isShard = ev.Config.IsRouted(name), ev.Config.IsShard(name)
+			s.routed, s.isShard, s.objective = ev.Config.IsRouted(name), ev.Config.IsShard(name), ev.Config.ShortestObjective(name)
 		}
 		e.setWorkspaces(now, ev.Config, earlier)
 		e.removeStaleState()
@@ -66,7 +66,7 @@
 		t = nil
 	}
 	if t == nil {
-		t = &target{reg: reg, service: e.service(reg.Service), limit: initialLimit, zoneOut: e.zonesOut[reg.Zone]}
+		t = &target{reg: reg, service: e.service(reg.Service), window: window{limit: initialLimit}, zoneOut: e.zonesOut[reg.Zone]}
 		e.targets[id] = t
 		t.service.targets = append(t.service.targets, t)
 		e.startWarmup(now, t, reg.WarmupLeft)
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -18,8 +18,9 @@
 type service struct {
 	name        string
 	config      catalog.Service
-	routed      bool // a route of the configuration names it
-	isShard     bool // a fan-out names it
+	routed      bool          // a route of the configuration names it
+	isShard     bool          // a fan-out names it
+	objective   time.Duration // shortest one of the routes that name it; zero if there is none
 	targets     []*target
 	queue       []*subRequest // ordered by priority, then by admission
 	budget      *retry.Budget
@@ -34,7 +35,7 @@
 		s = &service{name: name, budget: retry.NewBudget(e.settings.Retry, e.sharers())}
 		if e.config != nil {
 			s.config = e.config.Services[name]
-			s.routed, s.isShard = e.config.IsRouted(name), e.config.IsShard(name)
+			s.routed, s.isShard, s.objective = e.config.IsRouted(name), e.config.IsShard(name), e.config.ShortestObjective(name)
 		}
 		e.services[name] = s
 	}
@@ -109,7 +110,7 @@
 	capacity := 0
 	for _, t := range s.targets {
 		if t.usable(now) && !t.backsOff(now) {
-			capacity += max(min(int(t.limit), len(t.conns)), 1)
+			capacity += max(min(t.window.size(), len(t.conns)), 1)
 		}
 	}
 	if capacity == 0 {
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -43,10 +43,6 @@
 	// stallFactor times the 95th percentile of the route's latency (99th for
 	// abandoned attempts) is the time after which an unanswered attempt is overdue.
 	stallFactor = 2
-
-	initialLimit  = 4   // concurrency limit of a new target
-	limitDecrease = 0.6 // factor applied to the limit when the target sheds a request
-	limitIncrease = 0.1 // added to the limit with each answer while the target has no queue
 )
 
 // target is the state of one server of a service on this VM.
@@ -71,7 +67,7 @@
 
 	running             []*attempt
 	startedAt           time.Time // last start of an attempt
-	limit               float64
+	window              window
 	slowness            float64 // mean latency of attempts as a multiple of their route's median
 	sampleAt            time.Time
 	failureRatio        float64 // decaying ratio of failed attempts
@@ -154,14 +150,14 @@
 
 // canAccept reports whether an attempt can start at the target now.
 func (t *target) canAccept(now time.Time) bool {
-	return t.usable(now) && !t.backsOff(now) && len(t.running) < max(int(t.limit), 1) && t.coldLimiter.allows(now) && t.idleConn(now) != nil
+	return t.usable(now) && !t.backsOff(now) && len(t.running) < t.window.size() && t.coldLimiter.allows(now) && t.idleConn(now) != nil
 }
 
 // targetShed records a refused attempt. A target that refuses some requests and
 // answers others is not ejected: the remaining targets would get the work of all,
 // and take far longer than another attempt.
 func (e *Engine) targetShed(now time.Time, t *target) {
-	t.limit = max(t.limit*limitDecrease, 1)
+	t.window.shed()
 	if now.Sub(t.answeredAt) <= shedTolerance {
 		t.recordFailure(now)
 		return
