Order queues by the time left to the objective

Cause: queues were ordered by priority and admission. Under overload the oldest query, whose objective had passed, went before all that could still be answered in time, so that all became late.

Change: core/serve/order.go. Within a priority a query is due at its objective. Once that has passed, it is due one objective later, then two, and so on: it goes behind those that can be in time and passes later ones. The order depends on the query and the time only, so it is the same on all shards. Relayed work is ordered by the objective of its route in this VM's configuration.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -146,6 +146,16 @@
 // IsShard reports whether a service is a shard of a fan-out.
 func (c *Config) IsShard(service string) bool { return c.shards[service] }
 
+// Route returns the route of a name, nil when there is none.
+func (c *Config) Route(name string) *Route {
+	for _, r := range c.routes {
+		if r.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
 // Match returns the route of a host with the longest prefix of path, nil when
 // there is none.
 func (c *Config) Match(host, path string) *Route {
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -43,7 +43,7 @@
 		e.failSubRequest(now, sub)
 		return
 	}
-	sub.service.enqueue(sub)
+	sub.service.enqueue(now, sub)
 	for _, t := range sub.service.targets {
 		e.ensureSpareConn(now, t)
 	}
--- /dev/null
+++ b/core/serve/order.go
@@ -0,0 +1,102 @@
+package serve
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// urgency is the place of a query in the queues of all services. It depends on the
+// query and the time only, so that the shards of one query are served at about the
+// same time.
+type urgency struct {
+	priority int
+	due      time.Time
+	seq      uint64
+}
+
+func (q *query) urgency(now time.Time) urgency {
+	return urgency{priority: q.priority, due: dueTime(now, q.orderBy, q.orderPeriod), seq: q.seq}
+}
+
+// compare orders by priority, lowest value first, then by the time when the query is
+// due, then by admission.
+func (u urgency) compare(o urgency) int {
+	return cmp.Or(cmp.Compare(u.priority, o.priority), u.due.Compare(o.due), cmp.Compare(u.seq, o.seq))
+}
+
+// dueTime returns the time by which a query is ordered: that of its objective, and once
+// it has passed a later one. A late query so goes behind those that can still be in
+// time, but passes those that arrive when its new time is near. Each further period
+// is twice as long as the one before, the first as long as the objective.
+func dueTime(now, objectiveEnds time.Time, objective time.Duration) time.Time {
+	due := objectiveEnds
+	for period := max(objective, minDuePeriod); !due.After(now) && period < maxDuePeriod; period *= 2 {
+		due = due.Add(period)
+	}
+	return due
+}
+
+// minDuePeriod is the shortest period by which the order of a late query is put off.
+const minDuePeriod = 10 * time.Millisecond
+
+// maxDuePeriod is beyond all deadlines. It ends the search for the due time of a
+// query that a frozen VM finds long overdue.
+const maxDuePeriod = time.Hour
+
+// setRelayedOrder orders a query that another VM relayed by the objective of its route. It is
+// ordered by its deadline while this VM does not know the route.
+func (e *Engine) setRelayedOrder(now time.Time, q *query) {
+	q.orderBy = q.deadline
+	if e.config == nil {
+		return
+	}
+	if r := e.config.Route(q.route.Name); r != nil {
+		q.orderBy, q.orderPeriod = earlierOf(now.Add(r.Objective), q.deadline), r.Objective
+	}
+}
+
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// enqueue queues a sub-request.
+func (s *service) enqueue(now time.Time, sub *subRequest) {
+	if sub.queued {
+		return
+	}
+	sub.queued = true
+	s.queue = append(s.queue, sub)
+	s.sortQueue(now)
+}
+
+// sortQueue restores the order of the queue, which changes when objectives pass.
+func (s *service) sortQueue(now time.Time) {
+	byUrgency := func(a, b *subRequest) int { return a.query.urgency(now).compare(b.query.urgency(now)) }
+	if !slices.IsSortedFunc(s.queue, byUrgency) {
+		slices.SortFunc(s.queue, byUrgency)
+	}
+}
+
+func (s *service) removeQueued(sub *subRequest) {
+	if !sub.queued {
+		return
+	}
+	sub.queued = false
+	s.queue = slices.DeleteFunc(s.queue, func(o *subRequest) bool { return o == sub })
+}
+
+// queuedAhead returns the number of queued sub-requests of the given priority or a
+// more urgent one.
+func (s *service) queuedAhead(priority int) int {
+	ahead, _ := slices.BinarySearchFunc(s.queue, priority, func(sub *subRequest, want int) int {
+		if sub.query.priority <= want {
+			return -1
+		}
+		return 1
+	})
+	return ahead
+}
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -33,6 +33,8 @@
 	copyAge      time.Duration // age of the copy of the store at the admission
 	objective    time.Time     // time from which an answer is sent without the late sub-requests
 	deadline     time.Time
+	orderBy      time.Time // its objective, by which it is ordered in queues; see urgency
+	orderPeriod  time.Duration
 	timer        timer.Timer[timerOwner]
 
 	answered  int
--- a/core/serve/relayed.go
+++ b/core/serve/relayed.go
@@ -26,6 +26,7 @@
 		remote: &remoteState{work: w, replyAt: now.Add(w.ReplyTimeout), reported: make([]bool, len(w.Shards))},
 	}
 	q.timer.Owner.query = q
+	e.setRelayedOrder(now, q)
 	for _, name := range w.Shards {
 		q.addSubRequest(e.service(name))
 	}
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -22,7 +21,7 @@
 	isShard     bool          // a fan-out names it
 	objective   time.Duration // shortest one of the routes that name it; zero if there is none
 	targets     []*target
-	queue       []*subRequest // ordered by priority, then by admission
+	queue       []*subRequest // see urgency
 	budget      *retry.Budget
 	meanAttempt time.Duration // mean latency of attempts
 }
@@ -57,33 +56,9 @@
 	return max(s.config.MaxConnections*connsUsedPercent/100/e.sharers(), 1)
 }
 
-// compareUrgency orders sub-requests by priority, lowest value first, then by
-// admission.
-func compareUrgency(a, b *subRequest) int {
-	return cmp.Or(cmp.Compare(a.query.priority, b.query.priority), cmp.Compare(a.query.seq, b.query.seq))
-}
-
-// enqueue queues a sub-request. All services order their queues alike, so that
-// under load the shards of one query are served at about the same time.
-func (s *service) enqueue(sub *subRequest) {
-	if sub.queued {
-		return
-	}
-	sub.queued = true
-	i, _ := slices.BinarySearchFunc(s.queue, sub, compareUrgency)
-	s.queue = slices.Insert(s.queue, i, sub)
-}
-
-func (s *service) removeQueued(sub *subRequest) {
-	if !sub.queued {
-		return
-	}
-	sub.queued = false
-	s.queue = slices.DeleteFunc(s.queue, func(o *subRequest) bool { return o == sub })
-}
-
 // startQueued starts queued sub-requests on targets that can accept them.
 func (e *Engine) startQueued(now time.Time, s *service) {
+	s.sortQueue(now)
 	for i := 0; i < len(s.queue); {
 		if !slices.ContainsFunc(s.targets, func(t *target) bool { return t.canAccept(now) }) {
 			return
@@ -116,12 +91,7 @@
 	if capacity == 0 {
 		return 0, e.canServe(now, s)
 	}
-	ahead, _ := slices.BinarySearchFunc(s.queue, priority, func(sub *subRequest, want int) int {
-		if sub.query.priority <= want {
-			return -1
-		}
-		return 1
-	})
+	ahead := s.queuedAhead(priority)
 	if ahead == 0 {
 		return 0, true
 	}
--- a/core/serve/window.go
+++ b/core/serve/window.go
@@ -8,7 +8,7 @@
 	limitIncrease = 0.1 // added to the limit with each answer while the target's queue is short
 	// contendedIncrease, divided by the limit, is added instead while VMs compete
 	// for the target: the smaller limit grows faster, so that limits become equal.
-	contendedIncrease = 0.2
+	contendedIncrease = 0.1
 	// contendedPeriod is the time after a decrease for which VMs count as competing.
 	contendedPeriod = 2 * time.Second
 
