Admit fan-outs whole by the queues of this VM and of targets

Cause: the expected wait counted this VM's queue alone, so that everything was admitted while work waited at targets, and all of it became late. Urgent queries found the places of targets taken.

A fan-out is refused when more shards than may be missing would be late and requests wait there; a shard that is too slow for the objective by itself is given until the deadline. The objective of a retry counts from the retry here.

TestFaultQueuedRequestsInAStop submits 80 requests instead of 60: all 60 are now admitted before the stop, and only 10 were left to be refused in it.

--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -74,6 +74,7 @@
 	e.relayFarShards(now, q)
 	for _, sub := range q.subRequests {
 		sub.service.budget.Earn()
+		sub.service.recordArrival(now, q.priority)
 		if !sub.done && sub.relay == nil { // starting an earlier sub-request may have ended the query
 			e.startOrQueue(now, sub)
 		}
@@ -132,9 +133,9 @@
 		timeout = q.route.Timeout
 	}
 	state.maxTimeout = max(state.maxTimeout, timeout.Truncate(time.Millisecond))
-	waited := max(min(max(state.maxTimeout, e.view.Timeouts[q.route.Name]), q.route.Timeout)-timeout, 0)
+	q.waited = max(min(max(state.maxTimeout, e.view.Timeouts[q.route.Name]), q.route.Timeout)-timeout, 0)
 	q.deadline = e.untilStop(q.arrived.Add(timeout - deadlineMargin))
-	q.objective = q.arrived.Add(q.route.Objective - waited - objectiveMargin - e.deliveryLag.allowance(q.route.Objective))
+	q.objective = q.arrived.Add(q.route.Objective - q.waited - objectiveMargin - e.deliveryLag.allowance(q.route.Objective))
 	q.orderBy, q.orderPeriod = q.objective, q.route.Objective
 }
 
@@ -213,46 +214,6 @@
 	return best
 }
 
-// refuseUnservable refuses a query that is not expected to be answered in time:
-// too many of its services have no target, or the work that waits for them
-// takes too long.
-func (e *Engine) refuseUnservable(now time.Time, q *query) *Answer {
-	if !now.Before(q.deadline) {
-		return refusal(outcome.CodeDeadlineExceeded, 0, "no time is left")
-	}
-	limit := q.deadline.Sub(now)
-	if now.Before(q.objective) {
-		limit = min(limit, q.objective.Sub(now))
-	}
-	down, late, wait, backoff := 0, 0, time.Duration(0), time.Duration(0)
-	for _, sub := range q.subRequests {
-		b := sub.service.backoffLeft(now)
-		switch w, ok := e.expectedWait(now, sub.service, q.priority); {
-		case !ok:
-			down++
-		case b > limit:
-			down++
-			backoff = max(backoff, b)
-		case w > limit:
-			late++
-			wait = max(wait, w-limit)
-		}
-	}
-	maxMissing := len(q.subRequests) - q.minAnswered
-	if down > maxMissing {
-		after := retryAfterNoTarget
-		if backoff > 0 {
-			after = backoff
-		}
-		return refusal(outcome.CodeNoReplica, addJitter(after, q.request.Fingerprint), "%d of %d services have no target in service", down, len(q.subRequests))
-	}
-	if down+late > maxMissing {
-		return refusal(outcome.CodeOverloaded, addJitter(max(min(max(wait, minRetryAfter), maxRetryAfter), backoff), q.request.Fingerprint),
-			"work waits %v longer than the objective allows", wait.Round(time.Millisecond))
-	}
-	return nil
-}
-
 // addJitter lengthens a wait by a fraction derived from the request's
 // fingerprint.
 func addJitter(wait time.Duration, fingerprint uint64) time.Duration {
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -59,7 +59,7 @@
 		return
 	}
 	e.attemptSeq++
-	a := &attempt{id: e.attemptSeq, subRequest: sub, route: e.route(q.route.Name), fingerprint: q.request.Fingerprint,
+	a := &attempt{id: e.attemptSeq, subRequest: sub, route: e.route(q.route.Name), priority: q.priority, fingerprint: q.request.Fingerprint,
 		target: t, conn: t.idleConn(now), started: now}
 	a.abandonTimer.Owner.attempt = a
 	a.conn.attempt, a.conn.usedAt = a, now
@@ -164,7 +164,7 @@
 		t.service.recordAttemptTime(elapsed)
 		t.recordSlowness(now, float64(elapsed)/float64(max(a.route.latency.P50, time.Millisecond)))
 		if ev.Load != nil {
-			t.window.recordServiceTime(elapsed, t.load, t.slots())
+			t.window.recordServiceTime(elapsed, a.route.latency.P50, t.load, t.slots())
 		}
 		t.window.answered(now, a.started, t.load, t.slots(), t.service.objective, float64(e.maxConns(t.service)))
 		return
@@ -296,7 +296,7 @@
 			continue
 		}
 		t := e.pickTarget(now, sub, true)
-		if t == nil || !sub.service.budget.TakeHedge() {
+		if t == nil || len(sub.service.queue) > 0 || t.hasQueue(now) || !sub.service.budget.TakeHedge() {
 			sub.hedgeAt = now.Add(max(e.route(q.route.Name).latency.P50/hedgeRecheckDivisor, minHedgeWait))
 			continue
 		}
--- /dev/null
+++ b/core/serve/expect_test.go
@@ -0,0 +1,71 @@
+package serve
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/anvilfork/anvilfork/core/outcome"
+)
+
+// crowd makes the targets of shards slow and has them report that requests wait.
+func (h *harness) crowd(shards int, slowness float64, queued int) {
+	for i := range shards {
+		s := h.engine.service(shardName(i))
+		s.meanAttempt = 80 * time.Millisecond
+		for _, t := range s.targets {
+			t.window = window{limit: 1, serviceTime: 80 * time.Millisecond, slowdown: slowness}
+			t.sampleAt, t.loadAt, t.load = h.now, h.now, Load{Running: 2, Queued: queued, Slots: 2}
+		}
+	}
+}
+
+// Guards against fan-outs that take places on some shards although others can't answer
+// in time, and against refusing a query because a service is slow without a queue.
+func TestFanOutIsAdmittedOrRefusedWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		crowded, queued int
+		slowness        float64
+		refused         bool
+	}{
+		"as many shards late as may be missing": {2, 8, 2, false},
+		"more":                                  {3, 8, 2, true},
+		"slow without a queue":                  {10, 0, 3, false},
+		"too slow for the objective anyway":     {10, 8, 6, false},
+		"too slow for the deadline":             {10, 100, 6, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.crowd(c.crowded, c.slowness, c.queued)
+			id := h.submit("/sweep/x")
+			if !c.refused {
+				assert.Assert(t, h.answers[id] == nil)
+				return
+			}
+			r := h.answers[id].Refusal
+			assert.Equal(t, r.Code, outcome.CodeOverloaded)
+			assert.Equal(t, r.Outcome, outcome.NotRun)
+			assert.Assert(t, r.RetryAfter >= minRetryAfter && r.RetryAfter <= maxRetryAfter*3/2)
+			assert.Equal(t, len(h.started), 0)
+		})
+	}
+}
+
+// Guards against refusing single requests that would be late, as a late answer is worth
+// most of one in time, and against admitting those that would wait beyond their deadline.
+func TestSingleRequestsAreAdmittedUpToTheirDeadline(t *testing.T) {
+	h := newHarness(t)
+	h.engine.service("single").meanAttempt = 400 * time.Millisecond
+	admitted, refused := 0, 0
+	for range 300 {
+		if id := h.submit("/read/x"); h.answers[id] == nil {
+			admitted++
+		} else {
+			refused++
+		}
+		h.openAll()
+	}
+	assert.Assert(t, admitted > 40, "%d admitted", admitted) // the windows hold 12, and 4 s hold 10 times that
+	assert.Assert(t, refused > 0)
+}
--- a/core/serve/order.go
+++ b/core/serve/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -89,14 +90,27 @@
 	s.queue = slices.DeleteFunc(s.queue, func(o *subRequest) bool { return o == sub })
 }
 
-// queuedAhead returns the number of queued sub-requests of the given priority or a
-// more urgent one.
-func (s *service) queuedAhead(priority int) int {
-	ahead, _ := slices.BinarySearchFunc(s.queue, priority, func(sub *subRequest, want int) int {
-		if sub.query.priority <= want {
-			return -1
+// queuedBefore returns the number of queued sub-requests that go before those of a
+// new query.
+func (s *service) queuedBefore(now time.Time, q *query) int {
+	u, before := q.urgency(now), 0
+	u.seq = math.MaxUint64 // it is admitted after all others
+	for _, sub := range s.queue {
+		if sub.query.urgency(now).compare(u) < 0 {
+			before++
 		}
-		return 1
-	})
-	return ahead
+	}
+	return before
+}
+
+// queuedUpTo returns the number of queued sub-requests of the given priority and of more
+// urgent ones.
+func (s *service) queuedUpTo(priority int) int {
+	n := 0
+	for _, sub := range s.queue {
+		if sub.query.priority <= priority {
+			n++
+		}
+	}
+	return n
 }
--- a/core/serve/pick.go
+++ b/core/serve/pick.go
@@ -58,7 +58,7 @@
 	n := len(sub.service.targets)
 	for i := range n {
 		t := sub.service.targets[(i+int(sub.query.seq))%n]
-		if !t.canAccept(now) || !allowTried && slices.Contains(sub.tried, t) {
+		if !t.canAccept(now, sub.query.priority) || !allowTried && slices.Contains(sub.tried, t) {
 			continue
 		}
 		if t.isLeaving() {
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -29,6 +29,7 @@
 	minAnswered   int // sub-requests that must succeed for an answer
 
 	arrived      time.Time
+	waited       time.Duration // that the caller seems to have spent on earlier tries
 	admissionLag time.Duration // from arrived to the admission
 	copyAge      time.Duration // age of the copy of the store at the admission
 	objective    time.Time     // time from which an answer is sent without the late sub-requests
--- a/core/serve/relayed.go
+++ b/core/serve/relayed.go
@@ -34,6 +34,7 @@
 	q.seq = e.querySeq
 	e.queries[w.Request.ID] = q
 	for _, sub := range q.subRequests {
+		sub.service.recordArrival(now, q.priority)
 		e.startOrQueue(now, sub)
 	}
 	e.advance(now, q)
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -21,7 +21,8 @@
 	isShard     bool          // a fan-out names it
 	objective   time.Duration // shortest one of the routes that name it; zero if there is none
 	targets     []*target
-	queue       []*subRequest // see urgency
+	queue       []*subRequest    // see urgency
+	arrivals    map[int]arrivals // by priority
 	budget      *retry.Budget
 	meanAttempt time.Duration // mean latency of attempts
 }
@@ -60,10 +61,10 @@
 func (e *Engine) startQueued(now time.Time, s *service) {
 	s.sortQueue(now)
 	for i := 0; i < len(s.queue); {
-		if !slices.ContainsFunc(s.targets, func(t *target) bool { return t.canAccept(now) }) {
-			return
-		}
 		sub := s.queue[i]
+		if !slices.ContainsFunc(s.targets, func(t *target) bool { return t.canAccept(now, sub.query.priority) }) {
+			return // less urgent ones find no place either
+		}
 		if e.tooLateToStart(now, sub.query, 0) { // failQueued ends it
 			i++
 			continue
@@ -78,26 +79,6 @@
 	}
 }
 
-// expectedWait estimates how long a new sub-request of the given priority is
-// queued. It returns false if the service has no target. It does not count the time
-// for which all targets want no requests; backoffLeft does.
-func (e *Engine) expectedWait(now time.Time, s *service, priority int) (time.Duration, bool) {
-	capacity := 0
-	for _, t := range s.targets {
-		if t.usable(now) && !t.backsOff(now) {
-			capacity += max(min(t.window.size(), len(t.conns)), 1)
-		}
-	}
-	if capacity == 0 {
-		return 0, e.canServe(now, s)
-	}
-	ahead := s.queuedAhead(priority)
-	if ahead == 0 {
-		return 0, true
-	}
-	return time.Duration(float64(ahead+1) / float64(capacity) * float64(s.meanAttempt)), true
-}
-
 func (s *service) recordAttemptTime(d time.Duration) {
 	if s.meanAttempt == 0 {
 		s.meanAttempt = d
--- a/core/serve/stop.go
+++ b/core/serve/stop.go
@@ -72,8 +72,8 @@
 	}
 	late := 0
 	for _, sub := range q.subRequests {
-		wait, _ := e.expectedWait(now, sub.service, q.priority)
-		if !slices.ContainsFunc(sub.service.targets, func(t *target) bool { return t.canAccept(now) }) {
+		wait, _ := e.expectedWait(now, sub.service, sub.service.queuedUpTo(q.priority), q.priority)
+		if !slices.ContainsFunc(sub.service.targets, func(t *target) bool { return t.canAccept(now, q.priority) }) {
 			wait = max(wait, sub.service.meanAttempt) // until a slot is free
 		}
 		if e.tooLateToStart(now, q, wait) {
--- a/core/serve/stop_test.go
+++ b/core/serve/stop_test.go
@@ -74,7 +74,7 @@
 func TestFaultQueuedRequestsInAStop(t *testing.T) {
 	h := newSlowHarness(t)
 	var ids []RequestID
-	for range 60 {
+	for range 80 {
 		ids = append(ids, h.submit("/write/x"))
 	}
 	end := h.stop()
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -98,6 +98,7 @@
 	id           AttemptID
 	subRequest   *subRequest // nil when its answer is no longer needed
 	route        *routeState
+	priority     int
 	fingerprint  uint64
 	target       *target
 	conn         *conn
@@ -148,9 +149,9 @@
 	return best
 }
 
-// canAccept reports whether an attempt can start at the target now.
-func (t *target) canAccept(now time.Time) bool {
-	return t.usable(now) && !t.backsOff(now) && len(t.running) < t.window.size() && t.coldLimiter.allows(now) && t.idleConn(now) != nil
+// canAccept reports whether an attempt of a priority can start at the target now.
+func (t *target) canAccept(now time.Time, priority int) bool {
+	return t.usable(now) && !t.backsOff(now) && t.hasRoom(now, priority) && t.coldLimiter.allows(now) && t.idleConn(now) != nil
 }
 
 // targetShed records a refused attempt. A target that refuses some requests and
--- a/core/serve/window.go
+++ b/core/serve/window.go
@@ -33,6 +33,7 @@
 	limit       float64
 	decreasedAt time.Time     // last decrease because of a long queue
 	serviceTime time.Duration // mean time that a request takes in a slot; zero if unknown
+	slowdown    float64       // mean of that time as a multiple of the route's median
 }
 
 // size returns the number of attempts that may be in flight, at least one.
@@ -49,14 +50,14 @@
 		w.decrease(now, started, load, slots+longest)
 		return
 	}
-	if load.Queued > maxQueueFactor*slots {
-		return
-	}
-	increase := limitIncrease
-	if !w.decreasedAt.IsZero() && now.Sub(w.decreasedAt) < contendedPeriod {
-		increase = min(contendedIncrease/w.limit, limitIncrease)
+	contended := !w.decreasedAt.IsZero() && now.Sub(w.decreasedAt) < contendedPeriod
+	switch {
+	case load.Queued > maxQueueFactor*slots, contended && load.Queued == longest:
+	case contended:
+		w.limit = min(w.limit+min(contendedIncrease/w.limit, limitIncrease), most)
+	default:
+		w.limit = min(w.limit+limitIncrease, most)
 	}
-	w.limit = min(w.limit+increase, most)
 }
 
 // decrease reduces the window by the factor by which the requests at the target
@@ -72,13 +73,15 @@
 }
 
 // recordServiceTime records the latency of an attempt, less the part that it spent
-// in the queue of the target.
-func (w *window) recordServiceTime(latency time.Duration, load Load, slots int) {
+// in the queue of the target. median is that of the route.
+func (w *window) recordServiceTime(latency, median time.Duration, load Load, slots int) {
 	sample := serviceTime(latency, load, slots)
+	slowdown := float64(sample) / float64(max(median, time.Millisecond))
 	if w.serviceTime == 0 {
-		w.serviceTime = sample
+		w.serviceTime, w.slowdown = sample, slowdown
 	}
 	w.serviceTime += (sample - w.serviceTime) / serviceTimeSamples
+	w.slowdown += (slowdown - w.slowdown) / serviceTimeSamples
 }
 
 // serviceTime returns the part of a latency that was spent in a slot: with n
