End relayed work within half a second of its query

Cause: a query that ended between two calls of a relay, or a VM that was lost then, left its work running at the other VM until the deadline, as no call was open whose end would show it.

Change: the VM that runs the work cancels it when no call for the next reply comes within 300 ms of the one before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -24,6 +24,11 @@
 	// replyRetention is how long the last reply waits to be fetched. The other VM
 	// asks for the next reply as soon as it has the previous one.
 	replyRetention = time.Second
+	// nextCallTimeout is the time from a reply until the call for the next one, after
+	// which the other VM does not need the work any more: its query ended between two
+	// calls, or it is lost. With the time that attempts may then go on, the work ends
+	// within half a second.
+	nextCallTimeout = 300 * time.Millisecond
 )
 
 // relayClient sends parts of queries to other VMs, which run them.
@@ -101,6 +106,8 @@
 	id     serve.RequestID
 	waiter chan<- *peer.RelayReply // of the call that waits for a reply; has room for one
 	queued []*peer.RelayReply      // replies that no call has fetched yet
+	calls  int                     // calls for further replies
+	ended  bool                    // the last reply is in queued, or was fetched
 }
 
 // relayMsg is a message about work for another VM; one of its fields is set.
@@ -109,6 +116,13 @@
 	next      *nextReplyCall
 	abandoned *relayedRun     // its first call was cancelled before the reply
 	expired   serve.RequestID // a run whose replies are no longer fetched
+	awaited   *awaitedCall    // a call for the next reply is overdue unless it has come
+}
+
+// awaitedCall is the call for the next reply of a run that had so many calls before.
+type awaitedCall struct {
+	run   *relayedRun
+	calls int
 }
 
 // nextReplyCall asks for the next reply of a run. A nil reply means that there is
@@ -131,6 +145,10 @@
 		t.sendNextReply(m.next)
 	case m.abandoned != nil:
 		t.cancelRun(m.abandoned.id)
+	case m.awaited != nil:
+		if run := m.awaited.run; run.calls == m.awaited.calls && !run.ended {
+			t.cancelRun(run.id)
+		}
 	default:
 		t.cancelRun(m.expired)
 	}
@@ -140,6 +158,9 @@
 // wait for that reply.
 func (t *engineTask) sendNextReply(m *nextReplyCall) {
 	run := t.relayedRuns[m.id]
+	if run != nil {
+		run.calls++
+	}
 	switch {
 	case run == nil:
 		m.reply <- nil
@@ -150,11 +171,23 @@
 			delete(t.relayedRuns, m.id)
 		}
 		m.reply <- reply
+		t.awaitCall(run)
 	default:
 		run.waiter = m.reply
 	}
 }
 
+// awaitCall cancels a run unless a call for its next reply comes in time.
+func (t *engineTask) awaitCall(run *relayedRun) {
+	if run.ended {
+		return
+	}
+	calls := run.calls
+	time.AfterFunc(nextCallTimeout, func() {
+		t.inbox <- engineMsg{relay: &relayMsg{awaited: &awaitedCall{run: run, calls: calls}}}
+	})
+}
+
 // cancelRun cancels work that the other VM does not wait for any more.
 func (t *engineTask) cancelRun(id serve.RequestID) {
 	if t.relayedRuns[id] != nil {
@@ -171,6 +204,7 @@
 		return
 	}
 	reply := encodeRelayReply(a.ID, a.Reply)
+	run.ended = !a.Reply.More
 	if run.waiter == nil {
 		run.queued = append(run.queued, reply)
 		if !a.Reply.More {
@@ -180,6 +214,7 @@
 	}
 	run.waiter <- reply
 	run.waiter = nil
+	t.awaitCall(run)
 	if !a.Reply.More {
 		delete(t.relayedRuns, a.ID)
 	}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/twitchtv/twirp"
 	"gotest.tools/v3/assert"
 
 	"github.com/anvilfork/anvilfork/core/serve"
+	"github.com/anvilfork/anvilfork/metrics"
 	"github.com/anvilfork/anvilfork/rpc/peer"
 )
 
@@ -96,3 +98,28 @@
 		})
 	}
 }
+
+// Guards against work that runs to its deadline for a VM whose query ended between two
+// replies, or that was lost: no call is open then whose end would show it.
+func TestFaultRelayedWorkWithoutACallEnds(t *testing.T) {
+	for name, c := range map[string]struct{ calls, ended, runs bool }{
+		"no further call":  {},
+		"a further call":   {calls: true, runs: true},
+		"all replies sent": {ended: true, runs: true}, // the last reply is kept for its own time
+	} {
+		t.Run(name, func(t *testing.T) {
+			task := newEngineTask(newClock(), &Settings{}, nil, zerolog.Nop(), metrics.New(time.Now()))
+			run := &relayedRun{id: 7, waiter: make(chan *peer.RelayReply, 1)}
+			task.relayedRuns[7] = run
+			task.deliverReply(serve.SendRelayReply{ID: 7, Reply: &serve.RelayReply{More: true}})
+			if c.calls {
+				task.sendNextReply(&nextReplyCall{id: 7, reply: make(chan *peer.RelayReply, 1)})
+			}
+			if c.ended {
+				task.deliverReply(serve.SendRelayReply{ID: 7, Reply: &serve.RelayReply{}})
+			}
+			task.receive(<-task.inbox)
+			assert.Equal(t, task.relayedRuns[7] != nil, c.runs)
+		})
+	}
+}
