--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -249,11 +249,11 @@
 
 // failSubRequest ends a sub-request without a success. It starts nothing in its
 // place.
-func (e *Engine) failSubRequest(_ time.Time, sub *subRequest) {
+func (e *Engine) failSubRequest(now time.Time, sub *subRequest) {
 	sub.done = true
 	sub.query.failed++
 	sub.hedgeAt = time.Time{}
-	sub.service.removeQueued(sub)
+	sub.service.removeQueued(now, sub)
 }
 
 // noRetryReason returns why a sub-request may not be retried, or "" if it may.
--- a/core/serve/dump.go
+++ b/core/serve/dump.go
@@ -36,7 +36,8 @@
 	Conns        int     `json:"connections"`
 	Running      int     `json:"attempts_in_flight"`
 	Limit        float64 `json:"limit"`
-	Slowness     float64 `json:"slowness"` // attempt latency as a multiple of the route's median
+	Waiting      int     `json:"reported_waiting"` // in the queue of the target by its last report
+	Slowness     float64 `json:"slowness"`         // attempt latency as a multiple of the route's median
 	FailureRatio float64 `json:"failure_ratio"`
 }
 
@@ -63,7 +64,7 @@
 		d.Targets = append(d.Targets, TargetDump{
 			ID: t.reg.ID, Address: t.reg.Address, Zone: t.reg.Zone,
 			Usable: t.usable(now), Ejected: t.ejected(now), Stalled: t.stalled(now), Cold: now.Before(t.coldUntil),
-			Conns: len(t.conns), Running: len(t.running), Limit: t.window.limit, Slowness: t.slowness, FailureRatio: t.failureRatio,
+			Conns: len(t.conns), Running: len(t.running), Limit: t.window.limit, Waiting: t.load.Queued, Slowness: t.slowness, FailureRatio: t.failureRatio,
 		})
 	}
 	return d
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -76,6 +76,7 @@
 	AdmissionLag      time.Duration // from Request.Received to the admission
 	AnsweredAt        time.Time     // when the engine returned the answer
 	Duration          time.Duration
+	QueueWait         time.Duration // longest time that a sub-request was queued on this VM
 	Attempts          int
 	Hedges            int
 	Retries           int
--- a/core/serve/order.go
+++ b/core/serve/order.go
@@ -69,7 +69,7 @@
 	if sub.queued {
 		return
 	}
-	sub.queued = true
+	sub.queued, sub.queuedAt = true, now
 	s.queue = append(s.queue, sub)
 	s.sortQueue(now)
 }
@@ -82,11 +82,12 @@
 	}
 }
 
-func (s *service) removeQueued(sub *subRequest) {
+func (s *service) removeQueued(now time.Time, sub *subRequest) {
 	if !sub.queued {
 		return
 	}
 	sub.queued = false
+	sub.query.queueWait = max(sub.query.queueWait, now.Sub(sub.queuedAt))
 	s.queue = slices.DeleteFunc(s.queue, func(o *subRequest) bool { return o == sub })
 }
 
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -38,6 +38,7 @@
 	orderPeriod  time.Duration
 	timer        timer.Timer[timerOwner]
 
+	queueWait time.Duration // longest time that a sub-request was queued on this VM
 	answered  int
 	failed    int
 	attempts  int
@@ -63,6 +64,7 @@
 	hedged       bool
 	hedgeAt      time.Time // when a hedge is due; zero if none is
 	queued       bool
+	queuedAt     time.Time
 	done         bool
 	response     *Response      // last answer of a target, successful or not
 	relay        *relay         // set while another VM runs an attempt
@@ -238,7 +240,7 @@
 	e.cancelRelays(q)
 	for _, sub := range q.subRequests {
 		sub.done = true
-		sub.service.removeQueued(sub)
+		sub.service.removeQueued(now, sub)
 		for _, a := range sub.running {
 			a.subRequest = nil
 			e.detach(now, a, linger)
@@ -278,6 +280,7 @@
 	t.AdmissionLag, t.AnsweredAt = q.admissionLag, now
 	t.CopyAge, t.Priority, t.Duration = q.copyAge, q.priority, now.Sub(q.arrived)
 	t.Attempts, t.Hedges, t.Retries, t.CrossZoneAttempts, t.Shards = q.attempts, q.hedges, q.retries, q.crossZone, len(q.subRequests)
+	t.QueueWait = q.queueWait
 	t.Relayed, t.RelayedTo = q.relayed, q.relayedTo
 	for _, sub := range q.subRequests {
 		if !sub.succeeded() {
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -74,7 +74,7 @@
 			i++
 			continue
 		}
-		s.removeQueued(sub)
+		s.removeQueued(now, sub)
 		e.startAttempt(now, sub, t, false)
 	}
 }
--- a/core/serve/window_test.go
+++ b/core/serve/window_test.go
@@ -52,6 +52,25 @@
 	}
 }
 
+// Guards against places of a lost VM that the others don't take over.
+func TestFaultVMLostLeavesItsPlaces(t *testing.T) {
+	m := newModel([]float64{3, 1, 1}, 1, 1, modelRoute("wide", 1, 1, 1, 80*time.Millisecond, 3*time.Second))
+	m.work["/wide/x"] = 28 * time.Millisecond
+	capacity := modelSlots / m.work["/wide/x"].Seconds()
+	m.poisson(2*capacity, func() { m.call("/wide/x", 80*time.Millisecond, 3*time.Second) })
+	m.run(3 * time.Second)
+	lost := m.vms[0]
+	m.vms = m.vms[1:]
+	for _, job := range lost.jobs {
+		m.cancel(job)
+	}
+	m.run(time.Second)
+	before := m.vms[0].done + m.vms[1].done
+	m.run(5 * time.Second)
+	done := m.vms[0].done + m.vms[1].done - before
+	assert.Assert(t, float64(done) >= 0.95*5*capacity, "%d of %.0f possible", done, 5*capacity)
+}
+
 // Guards against deployments whose targets report no load, or short queues, and whose
 // limits no longer grow to the connections of the VM.
 func TestWindowGrowsWithoutAQueue(t *testing.T) {
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -216,6 +216,7 @@
 	line := t.log.Info().Str("event", "request_ended").Str("request", r.CallerRequestID).Str("route", tr.Route).
 		Str("workspace", tr.Workspace).Uint64("config_version", tr.ConfigVersion).Int64("copy_age_ms", tr.CopyAge.Milliseconds()).
 		Int("priority", tr.Priority).Int64("patience_ms", r.Timeout.Milliseconds()).Int64("took_us", tr.Duration.Microseconds()).
+		Int64("queue_wait_us", tr.QueueWait.Microseconds()).
 		Int("attempts", tr.Attempts).Int("hedges", tr.Hedges).Int("retries", tr.Retries).Int("cross_zone_attempts", tr.CrossZoneAttempts)
 	if tr.Relayed > 0 {
 		line = line.Int("relayed_shards", tr.Relayed).Str("relayed_to", joinVMs(tr.RelayedTo))
