--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -23,10 +23,6 @@
 	// hedgeRecheckDivisor divides the median latency: a hedge that could not
 	// start is tried again after the result.
 	hedgeRecheckDivisor = 4
-
-	// maxQueueFactor is the number of queued requests at a target, as a multiple
-	// of its slots, above which its limit does not grow.
-	maxQueueFactor = 1
 )
 
 // startOrQueue starts a sub-request on the best free target, or queues it until
@@ -47,7 +43,7 @@
 		e.failSubRequest(now, sub)
 		return
 	}
-	sub.service.enqueue(sub)
+	sub.service.enqueue(now, sub)
 	e.connectForQueue(now, sub.service, sub.query.seq)
 	e.startQueued(now, sub.service)
 }
@@ -62,7 +58,7 @@
 	}
 	hedgeWait := e.hedgeWaitAt(now, sub, t)
 	e.attemptSeq++
-	a := &attempt{id: e.attemptSeq, subRequest: sub, route: e.route(q.route.Name), fingerprint: q.request.Fingerprint,
+	a := &attempt{id: e.attemptSeq, subRequest: sub, route: e.route(q.route.Name), priority: q.priority, fingerprint: q.request.Fingerprint,
 		target: t, conn: t.idleConn(now), started: now}
 	a.abandonTimer.Owner.attempt = a
 	a.conn.attempt, a.conn.usedAt = a, now
@@ -143,7 +139,7 @@
 const idleUsedPercent = 80
 
 // recordResult updates the statistics of a target and its concurrency limit
-// (additive increase, multiplicative decrease) after an attempt.
+// after an attempt.
 func (e *Engine) recordResult(now time.Time, a *attempt, ev AttemptDone) {
 	t, elapsed := a.target, now.Sub(a.started)
 	if ev.Leaving {
@@ -161,15 +157,16 @@
 	case ev.Kind == Answered && ev.Response.Success:
 		e.targetSucceeded(now, t)
 		a.recordLatency(now, elapsed)
-		if t.load.Queued <= maxQueueFactor*t.slots() {
-			t.limit = min(t.limit+limitIncrease, float64(e.maxConns(t.service)))
+		if ev.Load != nil {
+			t.window.recordServiceTime(elapsed, a.route.latency.P50, t.load, t.slots())
 		}
+		t.window.answered(now, a.started, t.load, t.slots(), t.service.objective, float64(e.maxConns(t.service)))
 		return
 	case ev.Kind == WrongProcess:
 		t.replaced, t.connected = true, false // until the next CatalogChanged
 		e.closeIdleConns(t, ConnLoss)
 	case ev.Kind == Shed && ev.Backoff > 0: // it has said itself for how long to avoid it
-		t.limit = max(t.limit*limitDecrease, 1)
+		t.window.shed()
 	case ev.Kind == Shed:
 		e.targetShed(now, t)
 	default:
@@ -251,11 +248,11 @@
 
 // failSubRequest ends a sub-request without a success. It starts nothing in its
 // place.
-func (e *Engine) failSubRequest(_ time.Time, sub *subRequest) {
+func (e *Engine) failSubRequest(now time.Time, sub *subRequest) {
 	sub.done = true
 	sub.query.failed++
 	sub.hedgeAt = time.Time{}
-	sub.service.removeQueued(sub)
+	sub.service.removeQueued(now, sub)
 }
 
 // noRetryReason returns why a sub-request may not be retried, or "" if it may.
@@ -302,6 +299,10 @@
 			e.postponeHedge(now, sub, MissingHedgeTarget)
 			continue
 		}
+		if len(sub.service.queue) > 0 || t.hasQueue(now) {
+			e.postponeHedge(now, sub, MissingHedgeTarget)
+			continue
+		}
 		if !sub.service.budget.TakeHedge() {
 			e.postponeHedge(now, sub, MissingHedgeBudget)
 			continue
--- a/core/serve/estimate.go
+++ b/core/serve/estimate.go
@@ -134,11 +134,14 @@
 // the time to run it, and the time until the requests ahead of it leave a slot. median
 // is that of the route at pace 1.
 func (e *Engine) attemptTime(now time.Time, t *target, median time.Duration) time.Duration {
-	unit := t.runTime(now, median)
-	if ahead, slots := t.requestsAhead(now), float64(t.slots()); ahead >= slots {
-		unit += unit * (ahead + 1 - slots) / slots
-	}
-	return time.Duration(unit)
+	return t.withRequestsAhead(now, t.runTime(now, median))
+}
+
+// withRequestsAhead adds the time until the requests ahead of an attempt leave a slot
+// to the time that it runs, in nanoseconds.
+func (t *target) withRequestsAhead(now time.Time, run float64) time.Duration {
+	ahead, slots := t.requestsAhead(now), float64(t.slots())
+	return time.Duration(run * (1 + max(ahead+1-slots, 0)/slots))
 }
 
 // runTime estimates how long a request runs at the target once it has a slot, in
@@ -152,6 +155,16 @@
 	return unit
 }
 
+// unloadedTime estimates how long an attempt would take without other requests at the
+// target. At a target that states no pace, the time that requests spend in its queue is
+// taken from the measured latencies.
+func (t *target) unloadedTime(now time.Time, median time.Duration) time.Duration {
+	if !t.statesPace() && t.isMeasured(now) && t.window.slowdown > 0 {
+		return time.Duration(float64(median) * t.window.slowdown)
+	}
+	return time.Duration(t.runTime(now, median))
+}
+
 // recordLatency records the latency of an attempt that was answered, in the
 // measurements of its route, service and target.
 func (a *attempt) recordLatency(now time.Time, latency time.Duration) {
@@ -175,7 +188,7 @@
 			perPace += 1 / t.expectedPace(now)
 		}
 	}
-	if targets == 0 {
+	if targets == 0 || s.meanAtPace1 == 0 {
 		return s.meanAttempt
 	}
 	return time.Duration(float64(s.meanAtPace1) * targets / perPace)
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -29,12 +29,16 @@
 	minAnswered   int // sub-requests that must succeed for an answer
 
 	arrived      time.Time
+	waited       time.Duration // that the caller seems to have spent on earlier tries
 	admissionLag time.Duration // from arrived to the admission
 	copyAge      time.Duration // age of the copy of the store at the admission
 	objective    time.Time     // time from which an answer is sent without the late sub-requests
 	deadline     time.Time
+	orderBy      time.Time // its objective, by which it is ordered in queues; see urgency
+	orderPeriod  time.Duration
 	timer        timer.Timer[timerOwner]
 
+	queueWait time.Duration // longest time that a sub-request was queued on this VM
 	answered  int
 	failed    int
 	attempts  int
@@ -61,6 +65,7 @@
 	hedgeAt      time.Time    // when a hedge is due; zero if none is
 	hedgeDenied  MissingCause // why the last hedge that was due could not start; zero if none was
 	queued       bool
+	queuedAt     time.Time
 	done         bool
 	response     *Response      // last answer of a target, successful or not
 	relay        *relay         // set while another VM runs an attempt
@@ -244,7 +249,7 @@
 	e.cancelRelays(q)
 	for _, sub := range q.subRequests {
 		sub.done = true
-		sub.service.removeQueued(sub)
+		sub.service.removeQueued(now, sub)
 		for _, a := range sub.running {
 			a.subRequest = nil
 			e.detach(now, a, linger)
@@ -284,6 +289,7 @@
 	t.AdmissionLag, t.AnsweredAt = q.admissionLag, now
 	t.CopyAge, t.Priority, t.Duration = q.copyAge, q.priority, now.Sub(q.arrived)
 	t.Attempts, t.Hedges, t.Retries, t.CrossZoneAttempts, t.Shards = q.attempts, q.hedges, q.retries, q.crossZone, len(q.subRequests)
+	t.QueueWait = q.queueWait
 	t.Relayed, t.RelayedTo = q.relayed, q.relayedTo
 	for _, sub := range q.subRequests {
 		if !sub.succeeded() {
--- a/core/serve/relayed.go
+++ b/core/serve/relayed.go
@@ -26,6 +26,7 @@
 		remote: &remoteState{work: w, replyAt: now.Add(w.ReplyTimeout), reported: make([]bool, len(w.Shards))},
 	}
 	q.timer.Owner.query = q
+	e.setRelayedOrder(now, q)
 	for _, name := range w.Shards {
 		q.addSubRequest(e.relayedService(name))
 	}
@@ -37,6 +38,7 @@
 			e.failSubRequest(now, sub)
 			continue
 		}
+		sub.service.recordArrival(now, q.priority)
 		e.startOrQueue(now, sub)
 	}
 	e.advance(now, q)
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -18,10 +17,12 @@
 type service struct {
 	name        string
 	config      catalog.Service
-	routed      bool // a route of the configuration names it
-	isShard     bool // a fan-out names it
+	routed      bool          // a route of the configuration names it
+	isShard     bool          // a fan-out names it
+	objective   time.Duration // shortest one of the routes that name it; zero if there is none
 	targets     []*target
-	queue       []*subRequest // ordered by priority, then by admission
+	queue       []*subRequest    // see urgency
+	arrivals    map[int]arrivals // by priority
 	budget      *retry.Budget
 	meanAttempt time.Duration // mean latency of attempts
 	meanAtPace1 time.Duration // the same, divided by the pace of the target
@@ -35,7 +36,7 @@
 		s = &service{name: name, budget: retry.NewBudget(e.settings.Retry, e.sharers())}
 		if e.config != nil {
 			s.config = e.config.Services[name]
-			s.routed, s.isShard = e.config.IsRouted(name), e.config.IsShard(name)
+			s.routed, s.isShard, s.objective = e.config.IsRouted(name), e.config.IsShard(name), e.config.ShortestObjective(name)
 		}
 		e.services[name] = s
 	}
@@ -57,38 +58,14 @@
 	return max(s.config.MaxConnections*connsUsedPercent/100/e.sharers(), 1)
 }
 
-// compareUrgency orders sub-requests by priority, lowest value first, then by
-// admission.
-func compareUrgency(a, b *subRequest) int {
-	return cmp.Or(cmp.Compare(a.query.priority, b.query.priority), cmp.Compare(a.query.seq, b.query.seq))
-}
-
-// enqueue queues a sub-request. All services order their queues alike, so that
-// under load the shards of one query are served at about the same time.
-func (s *service) enqueue(sub *subRequest) {
-	if sub.queued {
-		return
-	}
-	sub.queued = true
-	i, _ := slices.BinarySearchFunc(s.queue, sub, compareUrgency)
-	s.queue = slices.Insert(s.queue, i, sub)
-}
-
-func (s *service) removeQueued(sub *subRequest) {
-	if !sub.queued {
-		return
-	}
-	sub.queued = false
-	s.queue = slices.DeleteFunc(s.queue, func(o *subRequest) bool { return o == sub })
-}
-
 // startQueued starts queued sub-requests on targets that can accept them.
 func (e *Engine) startQueued(now time.Time, s *service) {
+	s.sortQueue(now)
 	for i := 0; i < len(s.queue); {
-		if !slices.ContainsFunc(s.targets, func(t *target) bool { return t.canAccept(now) }) {
-			return
-		}
 		sub := s.queue[i]
+		if !slices.ContainsFunc(s.targets, func(t *target) bool { return t.canAccept(now, sub.query.priority) }) {
+			return // less urgent ones find no place either
+		}
 		if e.tooLateToStart(now, sub.query, 0) { // failQueued ends it
 			i++
 			continue
@@ -98,36 +75,11 @@
 			i++
 			continue
 		}
-		s.removeQueued(sub)
+		s.removeQueued(now, sub)
 		e.startAttempt(now, sub, t, false)
 	}
 }
 
-// expectedWait estimates how long a new sub-request of the given priority is
-// queued. It returns false if the service has no target. It does not count the time
-// for which all targets want no requests; backoffLeft does.
-func (e *Engine) expectedWait(now time.Time, s *service, priority int) (time.Duration, bool) {
-	capacity := 0
-	for _, t := range s.targets {
-		if t.usable(now) && !t.backsOff(now) {
-			capacity += max(min(int(t.limit), len(t.conns)), 1)
-		}
-	}
-	if capacity == 0 {
-		return 0, e.canServe(now, s)
-	}
-	ahead, _ := slices.BinarySearchFunc(s.queue, priority, func(sub *subRequest, want int) int {
-		if sub.query.priority <= want {
-			return -1
-		}
-		return 1
-	})
-	if ahead == 0 {
-		return 0, true
-	}
-	return time.Duration(float64(ahead+1) / float64(capacity) * float64(s.expectedAttempt(now))), true
-}
-
 func (s *service) recordAttemptTime(d time.Duration) {
 	if s.meanAttempt == 0 {
 		s.meanAttempt = d
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -43,10 +43,6 @@
 	// stallFactor times the 95th percentile of the route's latency (99th for
 	// abandoned attempts) is the time after which an unanswered attempt is overdue.
 	stallFactor = 2
-
-	initialLimit  = 4   // concurrency limit of a new target
-	limitDecrease = 0.6 // factor applied to the limit when the target sheds a request
-	limitIncrease = 0.1 // added to the limit with each answer while the target has no queue
 )
 
 // target is the state of one server of a service on this VM.
@@ -72,7 +68,7 @@
 
 	running             []*attempt
 	startedAt           time.Time // last start of an attempt
-	limit               float64
+	window              window
 	speed                       // how fast the target works
 	failureRatio        float64 // decaying ratio of failed attempts
 	failuresDecayedAt   time.Time
@@ -101,6 +97,7 @@
 	id           AttemptID
 	subRequest   *subRequest // nil when its answer is no longer needed
 	route        *routeState
+	priority     int
 	fingerprint  uint64
 	target       *target
 	conn         *conn
@@ -151,16 +148,16 @@
 	return best
 }
 
-// canAccept reports whether an attempt can start at the target now.
-func (t *target) canAccept(now time.Time) bool {
-	return t.usable(now) && !t.backsOff(now) && len(t.running) < max(int(t.limit), 1) && t.coldLimiter.allows(now) && t.idleConn(now) != nil
+// canAccept reports whether an attempt of a priority can start at the target now.
+func (t *target) canAccept(now time.Time, priority int) bool {
+	return t.usable(now) && !t.backsOff(now) && t.hasRoom(now, priority) && t.coldLimiter.allows(now) && t.idleConn(now) != nil
 }
 
 // targetShed records a refused attempt. A target that refuses some requests and
 // answers others is not ejected: the remaining targets would get the work of all,
 // and take far longer than another attempt.
 func (e *Engine) targetShed(now time.Time, t *target) {
-	t.limit = max(t.limit*limitDecrease, 1)
+	t.window.shed()
 	if now.Sub(t.answeredAt) <= shedTolerance {
 		t.recordFailure(now)
 		return
