Reject answers whose status is not from 200 to 599

Cause: http.ReadResponse parses a status with strconv.Atoi and accepts 000, 099, +20 and -00. internal/http1 skipped every status below 200 as interim and parsed what followed, also a body, as the next head, so that a whole answer inside the body of a 000 was taken for the target's answer. 600 to 999 were passed on. The clients of net/http passed on 000, 099, +20, -00, 101 and 600 to 999, skipped a 103 with a body, and kept the connection after a 600 without one.

Change: one check of the status in internal/http1, used by ReadResponse and by http1.Transport, which wraps every client of net/http in platform, gateway, daemon, client and cli; a shape test keeps it so. Of the interim answers 100, 102 and 103 without a body are skipped. The error is a *http1.StatusError with the value. In the daemon such an answer is a protocol violation, which penalizes the target; before, it was a lost connection. failed_attempts_total counts failed attempts by service and kind.

--- a/cli/admin.go
+++ b/cli/admin.go
@@ -10,6 +10,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"github.com/anvilfork/anvilfork/internal/http1"
 )
 
 // adminKeyEnv is the environment variable that holds the admin key. A flag would
@@ -48,7 +50,7 @@
 		return nil, err
 	}
 	// The proxies that the environment names are not used, as they would see the key.
-	httpClient := &http.Client{Timeout: adminTimeout, Transport: &http.Transport{TLSClientConfig: tlsConfig}}
+	httpClient := &http.Client{Timeout: adminTimeout, Transport: http1.NewTransport(&http.Transport{TLSClientConfig: tlsConfig})}
 	var clients []*adminClient
 	for _, u := range urls {
 		clients = append(clients, &adminClient{url: u, key: os.Getenv(adminKeyEnv), http: httpClient})
--- a/client/client.go
+++ b/client/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/outcome"
+	"github.com/anvilfork/anvilfork/internal/http1"
 )
 
 const (
@@ -110,10 +111,10 @@
 func New(o Options) *Client {
 	c := &Client{
 		options: o,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: http1.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: maxIdleConnsPerVM, IdleConnTimeout: idleTimeout, TLSClientConfig: o.TLS.Clone(),
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		}},
+		})},
 		lists:  make(chan addressList, 1),
 		hedges: make(chan hedgeBudget, 1),
 	}
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -184,7 +184,7 @@
 	if ev.Kind == ConnLost {
 		t.recordLostConn(now, a.fingerprint)
 	}
-	e.emit(LogEvent{Event: LogAttemptFailed, Request: a.request(), Service: t.service.name, Target: t.reg.ID, Cause: failureCause(ev), Duration: elapsed})
+	e.emit(LogEvent{Event: LogAttemptFailed, Request: a.request(), Service: t.service.name, Target: t.reg.ID, Cause: failureCause(ev), Failure: ev.Kind, Duration: elapsed})
 }
 
 // failureCause returns the kind of failure and its error, for the log.
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -305,6 +305,7 @@
 	Service  string
 	Target   string
 	Cause    string
+	Failure  ResultKind    // of LogAttemptFailed
 	Duration time.Duration // of the attempt, the backoff or the wait that the event is about
 	Count    int
 }
--- a/daemon/httpconn.go
+++ b/daemon/httpconn.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/anvilfork/anvilfork/core/route"
 	"github.com/anvilfork/anvilfork/internal/http1"
 )
@@ -37,6 +39,7 @@
 	status     int
 	header     http.Header
 	body       []byte
+	badStatus  bool // the response has a status that cannot be used; the status is zero
 	truncated  bool // the body ended early or is too long
 	closesConn bool // the target closes the connection after it
 }
@@ -101,7 +104,8 @@
 func readAnswer(r *bufio.Reader) targetAnswer {
 	resp, err := http1.ReadResponse(r, http.MethodPost)
 	if err != nil {
-		return targetAnswer{}
+		var badStatus *http1.StatusError
+		return targetAnswer{badStatus: errors.As(err, &badStatus)}
 	}
 	body, err := http1.ReadBody(resp, maxAnswerBytes, func(int64) error { return nil })
 	return targetAnswer{status: resp.StatusCode, header: resp.Header, body: body, truncated: err != nil, closesConn: resp.Close}
@@ -128,6 +132,10 @@
 	case <-ctx.Done():
 		return done, false
 	case got, ok := <-c.answers:
+		if got.badStatus {
+			done.Result = route.ResultProtocolViolation
+			return done, false
+		}
 		if !ok || got.status == 0 {
 			return done, false
 		}
--- a/daemon/outbox.go
+++ b/daemon/outbox.go
@@ -9,6 +9,7 @@
 
 	"github.com/anvilfork/anvilfork/core/breaker"
 	"github.com/anvilfork/anvilfork/core/fleet"
+	"github.com/anvilfork/anvilfork/internal/http1"
 )
 
 const (
@@ -35,7 +36,7 @@
 	self           fleet.VMID
 	log            zerolog.Logger
 	requestLog     zerolog.Logger // rate-limited, for lines about single requests
-	newTransport   func() *http.Transport
+	newTransport   func() *http1.Transport
 	view           *fleet.View
 	links          map[fleet.VMID]*peerLink
 	pendingAnswers pendingAnswers
@@ -51,7 +52,7 @@
 // has its own transport, so that its idle connections can be closed separately.
 type peerLink struct {
 	vm            fleet.VM
-	transport     *http.Transport
+	transport     *http1.Transport
 	client        *http.Client
 	queue         []outboxItem
 	callsInFlight int
@@ -59,7 +60,7 @@
 	breaker       breaker.Breaker
 }
 
-func newOutboxTask(ctx context.Context, self fleet.VMID, newTransport func() *http.Transport, log zerolog.Logger) *outboxTask {
+func newOutboxTask(ctx context.Context, self fleet.VMID, newTransport func() *http1.Transport, log zerolog.Logger) *outboxTask {
 	return &outboxTask{
 		ctx: ctx, self: self, log: log, requestLog: limitRequestLines(log), newTransport: newTransport,
 		links: make(map[fleet.VMID]*peerLink), formerVMs: make(formerVMs),
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilfork/anvilfork/core/control"
 	"github.com/anvilfork/anvilfork/core/fleet"
+	"github.com/anvilfork/anvilfork/internal/http1"
 )
 
 const (
@@ -53,7 +54,7 @@
 func newPlatformTask(ctx context.Context, url string) *platformTask {
 	return &platformTask{
 		ctx: ctx, url: url, inbox: make(chan platformMsg, platformInboxSize),
-		client: &http.Client{Timeout: platformTimeout, Transport: &http.Transport{}},
+		client: &http.Client{Timeout: platformTimeout, Transport: http1.NewTransport(&http.Transport{})},
 	}
 }
 
--- a/daemon/target.go
+++ b/daemon/target.go
@@ -11,6 +11,7 @@
 
 	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/route"
+	"github.com/anvilfork/anvilfork/internal/http1"
 )
 
 const (
@@ -51,7 +52,7 @@
 
 // newSingleConnClient returns a client that keeps at most one connection.
 func newSingleConnClient(timeout time.Duration) *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: timeout}
+	return &http.Client{Transport: http1.NewTransport(&http.Transport{MaxConnsPerHost: 1}), Timeout: timeout}
 }
 
 // probeTask reads the status of one target, every probeInterval and on request.
--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/twitchtv/twirp"
+
+	"github.com/anvilfork/anvilfork/internal/http1"
 )
 
 const (
@@ -38,19 +40,19 @@
 // transport returns a transport for connections to other VMs. It uses HTTP/1.1
 // also over TLS: a call without an answer must close its connection, which
 // HTTP/2 would keep open because other calls share it.
-func (d *peerDialer) transport() *http.Transport {
-	t := &http.Transport{
+func (d *peerDialer) transport() *http1.Transport {
+	t := http1.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: peerIdleConns,
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
 		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
 		DialContext:         d.dial,
-	}
+	})
 	if d.keys == nil {
 		return t
 	}
-	t.DialTLSContext = d.dialTLS
-	t.DialContext = d.rejectPlaintext
+	t.Base.DialTLSContext = d.dialTLS
+	t.Base.DialContext = d.rejectPlaintext
 	return t
 }
 
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -158,6 +158,9 @@
 	case serve.Report:
 		t.reportDemand(a)
 	case serve.LogEvent:
+		if a.Event == serve.LogAttemptFailed {
+			t.metrics.RecordFailedAttempt(a.Service, a.Failure.String())
+		}
 		t.logEvent(now, a)
 	}
 }
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -30,10 +30,10 @@
 // newPeerClient returns a client that keeps so many idle connections to each VM.
 func newPeerClient(idleConns int) *peerClient {
 	dialer := &net.Dialer{Timeout: peerConnectTimeout}
-	return &peerClient{http: &http.Client{Transport: &http.Transport{
+	return &peerClient{http: &http.Client{Transport: http1.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: http1.MaxHeadBytes,
-	}}}
+	})}}
 }
 
 // exchange makes one heartbeat call. A call that times out closes its connection,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,10 +34,10 @@
 
 func newRelayClient(codec CallerCodec) *relayClient {
 	dialer := &net.Dialer{Timeout: peerConnectTimeout}
-	return &relayClient{codec: codec, http: &http.Client{Transport: &http.Transport{
+	return &relayClient{codec: codec, http: &http.Client{Transport: http1.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleRelayConnsPerVM, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: http1.MaxHeadBytes,
-	}}}
+	})}}
 }
 
 // run makes one relay and reports its replies until the last one, or its failure.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -45,11 +45,15 @@
 
 // ReadResponse reads the head of the final response to a request with the given
 // method, and skips interim ones. br must come from NewReader. The error is
-// io.ErrUnexpectedEOF if the connection ended within the head, and a
-// *HeadTooLongError if the head does not end.
+// io.ErrUnexpectedEOF if the connection ended within the head, a *HeadTooLongError
+// if the head does not end, and a *StatusError if the status cannot be used.
 func ReadResponse(br *bufio.Reader, method string) (*http.Response, error) {
 	for range maxInterimResponses {
-		if err := awaitHead(br); err != nil {
+		head, err := awaitHead(br)
+		if err != nil {
+			return nil, err
+		}
+		if err := checkStatusLine(head); err != nil {
 			return nil, err
 		}
 		resp, err := http.ReadResponse(br, &http.Request{Method: method})
@@ -59,28 +63,31 @@
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		if err := checkInterimResponse(resp); err != nil {
+			return nil, err
+		}
 	}
 	return nil, errors.Newf("more than %d interim responses", maxInterimResponses)
 }
 
-// awaitHead returns once br has buffered a whole head.
-func awaitHead(br *bufio.Reader) error {
+// awaitHead returns the buffered bytes once they contain a whole head.
+func awaitHead(br *bufio.Reader) ([]byte, error) {
 	for {
 		buffered, err := br.Peek(br.Buffered())
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if hasHeadEnd(buffered) {
-			return nil
+			return buffered, nil
 		}
 		if len(buffered) == br.Size() {
-			return &HeadTooLongError{Read: len(buffered)}
+			return nil, &HeadTooLongError{Read: len(buffered)}
 		}
 		if _, err := br.Peek(len(buffered) + 1); err != nil {
 			if errors.Is(err, io.EOF) {
-				return io.ErrUnexpectedEOF
+				return nil, io.ErrUnexpectedEOF
 			}
-			return err
+			return nil, err
 		}
 	}
 }
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -103,6 +103,48 @@
 	}
 }
 
+// Guards against an HTTP answer that is read without the check of its status line.
+func TestAnswersAreReadByHTTP1(t *testing.T) {
+	for _, dir := range []string{"platform", "gateway", "daemon", "client", "cli", "cmd", "rpc"} {
+		for _, s := range parseSources(t, dir) {
+			if !strings.Contains(s.path, "platformtest") {
+				ast.Inspect(s.file, func(n ast.Node) bool { return checkHTTPUse(t, s, n) })
+			}
+		}
+	}
+}
+
+// checkHTTPUse reports a use of net/http that reads answers beside internal/http1, and
+// returns whether to look at the children of n.
+func checkHTTPUse(t *testing.T, s source, n ast.Node) bool {
+	t.Helper()
+	switch n := n.(type) {
+	case *ast.CallExpr:
+		return !isSelector(n.Fun, "http1", "NewTransport")
+	case *ast.CompositeLit:
+		if isSelector(n.Type, "http", "Transport") || isSelector(n.Type, "http", "Client") && len(n.Elts) == 0 {
+			t.Errorf("%s: a client without http1.NewTransport", s.fset.Position(n.Pos()))
+		}
+	case *ast.SelectorExpr:
+		for _, name := range []string{"ReadResponse", "DefaultClient", "DefaultTransport", "Get", "Head", "Post", "PostForm"} {
+			if isSelector(n, "http", name) {
+				t.Errorf("%s uses http.%s", s.fset.Position(n.Pos()), name)
+			}
+		}
+	}
+	return true
+}
+
+// isSelector reports whether an expression is pkg.name.
+func isSelector(e ast.Expr, pkg, name string) bool {
+	sel, ok := e.(*ast.SelectorExpr)
+	if !ok || sel.Sel.Name != name {
+		return false
+	}
+	id, ok := sel.X.(*ast.Ident)
+	return ok && id.Name == pkg
+}
+
 // Guards against state that is shared under a lock, except in generated code.
 func TestNoLocks(t *testing.T) {
 	for _, s := range parseSources(t, ".") {
--- a/metrics/expose.go
+++ b/metrics/expose.go
@@ -27,6 +27,7 @@
 	"queries_total":                  "Queries that ended on this VM, refused ones included.",
 	"subrequests_total":              "Sub-requests that the queries needed, one a group.",
 	"attempts_total":                 "Attempts at targets that replies to this VM reported.",
+	"failed_attempts_total":          "Attempts of this VM at targets that ended without a success.",
 	"hedges_total":                   "Sub-requests sent to a second home because the first was slow.",
 	"refusals_total":                 "Refused queries.",
 	"refusals_inside_rate_total":     "Refused queries whose reason is not on the caller's side: not the rate, the key or the request.",
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -59,6 +59,12 @@
 // recording task was full. Any task may call it.
 func (r *Registry) RecordOverload() { r.overloads.Inc(1) }
 
+// RecordFailedAttempt counts an attempt at a target of a service that ended without a
+// success; kind says how.
+func (r *Registry) RecordFailedAttempt(service, kind string) {
+	r.counter("failed_attempts_total", Labels{Service: service, Code: kind}).Inc(1)
+}
+
 // Query is a finished query as it is recorded.
 type Query struct {
 	Service   string
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -94,6 +94,7 @@
 	partial.Coverage = 0.5
 	r.Record(epoch, partial)
 	r.Record(epoch, refusedQuery("a", outcome.CodeNoHome))
+	r.RecordFailedAttempt("a", "unreadable")
 	r.Refresh(epoch)
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(strings.NewReader(exposition(t, r)))
