--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -100,6 +100,7 @@
 	r.Record(epoch, partial)
 	r.Record(epoch, refusedQuery("a", outcome.CodeNoHome))
 	r.RecordConnection("spare")
+	r.RecordFailedAttempt("a", "unreadable")
 	r.Refresh(epoch)
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(strings.NewReader(exposition(t, r)))
