Control overload only where no rates bound the demand

Cause: what is new is to take effect only where a deployment's configuration calls for it; the windows, the order, the reserved places and the admission applied to all. Change: a service has overload control if no workspace of the configuration has a rate; without it queues are ordered by admission, only a refused request closes a window, and admission counts what waits on the VM, as before.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -84,13 +84,14 @@
 	Services map[string]Service
 	Limits   Limits
 
-	routes     []*Route
-	routed     map[string]bool          // services that a route names
-	shards     map[string]bool          // those of them that are shards of a fan-out
-	objectives map[string]time.Duration // by service: the shortest objective of the routes that name it
-	byHost     map[string][]*Route
-	workspaces []*Workspace
-	byKey      map[string]*Workspace
+	routes       []*Route
+	routed       map[string]bool          // services that a route names
+	shards       map[string]bool          // those of them that are shards of a fan-out
+	objectives   map[string]time.Duration // by service: the shortest objective of the routes that name it
+	byHost       map[string][]*Route
+	workspaces   []*Workspace
+	byKey        map[string]*Workspace
+	limitsDemand bool // a workspace has a rate
 }
 
 // NewConfig returns a Config that indexes its arguments. Keys maps each API key to
@@ -98,11 +99,12 @@
 func NewConfig(version uint64, routes []*Route, services []Service, limits Limits, workspaces []*Workspace, keys map[string]*Workspace) *Config {
 	c := &Config{
 		Version: version, Limits: limits, routes: routes, workspaces: workspaces, byKey: keys,
-		Services:   make(map[string]Service, len(services)),
-		routed:     make(map[string]bool),
-		shards:     make(map[string]bool),
-		objectives: make(map[string]time.Duration),
-		byHost:     make(map[string][]*Route),
+		Services:     make(map[string]Service, len(services)),
+		routed:       make(map[string]bool),
+		shards:       make(map[string]bool),
+		objectives:   make(map[string]time.Duration),
+		byHost:       make(map[string][]*Route),
+		limitsDemand: slices.ContainsFunc(workspaces, func(w *Workspace) bool { return w.RatePerSecond > 0 }),
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -171,6 +173,10 @@
 // HasWorkspaces reports whether requests on routes that are not public need a key.
 func (c *Config) HasWorkspaces() bool { return len(c.workspaces) > 0 }
 
+// LimitsDemand reports whether the rates of workspaces bound the requests that callers
+// may send. Where none has a rate, only the VMs keep the load within what targets bear.
+func (c *Config) LimitsDemand() bool { return c.limitsDemand }
+
 // Workspaces returns all workspaces.
 func (c *Config) Workspaces() []*Workspace { return c.workspaces }
 
--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -136,7 +136,7 @@
 	q.waited = max(min(max(state.maxTimeout, e.view.Timeouts[q.route.Name]), q.route.Timeout)-timeout, 0)
 	q.deadline = e.untilStop(q.arrived.Add(timeout - deadlineMargin))
 	q.objective = q.arrived.Add(q.route.Objective - q.waited - objectiveMargin - e.deliveryLag.allowance(q.route.Objective))
-	q.orderBy, q.orderPeriod = q.objective, q.route.Objective
+	e.setOrder(q)
 }
 
 // deliveryLag estimates how long answers take outside of the engine: from the first
--- a/core/serve/expect.go
+++ b/core/serve/expect.go
@@ -37,13 +37,13 @@
 // if the service has no target.
 func (e *Engine) expect(now time.Time, s *service, q *query) (expectation, bool) {
 	ahead := s.queuedUpTo(q.priority) // to the deadline, those that are late by then are served too
-	if q.route.FanOut != nil {
+	if q.route.FanOut != nil && s.overloadControl {
 		ahead = s.queuedBefore(now, q)
 	}
 	wait, ok := e.expectedWait(now, s, ahead, q.priority)
 	x := expectation{wait: wait, crowded: len(s.queue) > 0}
-	if !ok {
-		return x, false
+	if !ok || !s.overloadControl { // else only what waits on this VM counts
+		return x, ok
 	}
 	median := e.route(q.route.Name).atPace1.P50
 	x.attempt, x.unloaded = math.MaxInt64, math.MaxInt64
@@ -68,7 +68,7 @@
 // of it is queued on this VM. It returns false if the service has no target. It does not count
 // the time for which all targets want no requests; backoffLeft does.
 func (e *Engine) expectedWait(now time.Time, s *service, ahead, priority int) (time.Duration, bool) {
-	capacity, full := 0, true
+	capacity, full := 0, s.overloadControl
 	for _, t := range s.targets {
 		if t.usable(now) && !t.backsOff(now) {
 			full = full && !t.hasRoom(now, priority)
@@ -89,6 +89,23 @@
 	return t.otherVMsLoad(now)+float64(len(t.running)) > float64(t.slots())
 }
 
+// admissionTime returns the time within which a query must be expected to be answered to
+// be admitted.
+func (e *Engine) admissionTime(now time.Time, q *query, untilDeadline time.Duration) time.Duration {
+	objective := q.objective
+	switch {
+	case e.config.LimitsDemand():
+		if !now.Before(objective) {
+			return untilDeadline
+		}
+	case q.route.FanOut == nil:
+		return untilDeadline
+	default: // a caller that was refused counts the objective from its next try
+		objective = objective.Add(q.waited)
+	}
+	return min(untilDeadline, objective.Sub(now))
+}
+
 // refuseUnservable refuses a query that is not expected to be answered: too many of its
 // services have no target, or the work ahead of it takes too long. A fan-out is
 // refused when it would be late because of that work, as it would make others late
@@ -99,11 +116,7 @@
 		return refusal(outcome.CodeDeadlineExceeded, 0, "no time is left")
 	}
 	untilDeadline := q.deadline.Sub(now)
-	untilObjective := untilDeadline
-	if q.route.FanOut != nil {
-		// A caller that was refused counts the objective from its next try.
-		untilObjective = min(untilDeadline, q.objective.Add(q.waited).Sub(now))
-	}
+	untilObjective := e.admissionTime(now, q, untilDeadline)
 	down := 0
 	var late []time.Duration // by how much services are expected to be late
 	var backoff time.Duration
--- a/core/serve/expect_test.go
+++ b/core/serve/expect_test.go
@@ -69,3 +69,25 @@
 	assert.Assert(t, admitted > 40, "%d admitted", admitted) // the windows hold 12, and 4 s hold 10 times that
 	assert.Assert(t, refused > 0)
 }
+
+// Guards against deployments whose workspaces have rates that are served otherwise than
+// before there was overload control: there only what waits on this VM counts, work is
+// ordered by admission, and the queues that targets report close no window.
+func TestNoOverloadControlWhereRatesLimitTheDemand(t *testing.T) {
+	h := newHarness(t)
+	h.config = testConfig(2, testRoutes(), 1000)
+	h.publish()
+	h.crowd(fanOutShards, 2, 8)
+	first := h.submit("/sweep/x")
+	assert.Assert(t, h.answers[first] == nil, "refused although nothing waits on this VM")
+	assert.Assert(t, h.engine.queries[first].orderBy.IsZero())
+	s := h.engine.service(shardName(0))
+	assert.Equal(t, s.queueObjective(), time.Duration(0))
+	w := window{limit: 3, serviceTime: 80 * time.Millisecond}
+	w.answered(h.now, h.now.Add(-time.Second), Load{Running: 2, Queued: 30, Slots: 2}, 2, s.queueObjective(), 9)
+	assert.Equal(t, w.limit, 3.0)
+	s.recordArrival(h.now, 0)
+	s.recordArrival(h.now, 0)
+	s.recordArrival(h.now, 0)
+	assert.Assert(t, !s.expectsMoreUrgent(h.now, 1))
+}
--- a/core/serve/order.go
+++ b/core/serve/order.go
@@ -17,7 +17,18 @@
 }
 
 func (q *query) urgency(now time.Time) urgency {
-	return urgency{priority: q.priority, due: dueTime(now, q.orderBy, q.orderPeriod), seq: q.seq}
+	u := urgency{priority: q.priority, seq: q.seq}
+	if !q.orderBy.IsZero() {
+		u.due = dueTime(now, q.orderBy, q.orderPeriod)
+	}
+	return u
+}
+
+// setOrder orders a query by its objective under overload control, else by its admission.
+func (e *Engine) setOrder(q *query) {
+	if !e.config.LimitsDemand() {
+		q.orderBy, q.orderPeriod = q.objective, q.route.Objective
+	}
 }
 
 // compare orders by priority, lowest value first, then by the time when the query is
@@ -48,10 +59,10 @@
 // setRelayedOrder orders a query that another VM relayed by the objective of its route. It is
 // ordered by its deadline while this VM does not know the route.
 func (e *Engine) setRelayedOrder(now time.Time, q *query) {
-	q.orderBy = q.deadline
-	if e.config == nil {
+	if e.config == nil || e.config.LimitsDemand() {
 		return
 	}
+	q.orderBy = q.deadline
 	if r := e.config.Route(q.route.Name); r != nil {
 		q.orderBy, q.orderPeriod = earlierOf(now.Add(r.Objective), q.deadline), r.Objective
 	}
--- a/core/serve/publish.go
+++ b/core/serve/publish.go
@@ -13,9 +13,8 @@
 	if ev.Config != nil && ev.Config != e.config {
 		earlier := e.config
 		e.config = ev.Config
-		for name, s := range e.services {
-			s.config = ev.Config.Services[name]
-			s.routed, s.isShard, s.objective = ev.Config.IsRouted(name), ev.Config.IsShard(name), ev.Config.ShortestObjective(name)
+		for _, s := range e.services {
+			s.applyConfig(ev.Config)
 		}
 		e.setWorkspaces(now, ev.Config, earlier)
 		e.removeStaleState()
--- a/core/serve/reserve.go
+++ b/core/serve/reserve.go
@@ -26,8 +26,12 @@
 	return a.count * math.Exp(-now.Sub(a.at).Seconds()/arrivalWindow.Seconds())
 }
 
-// recordArrival counts a sub-request of a priority.
+// recordArrival counts a sub-request of a priority. Without overload control no places
+// are kept.
 func (s *service) recordArrival(now time.Time, priority int) {
+	if !s.overloadControl {
+		return
+	}
 	if s.arrivals == nil {
 		s.arrivals = make(map[int]arrivals)
 	}
@@ -63,7 +67,7 @@
 	}
 	if len(t.running) >= size {
 		// A window of one place can't keep one free: an urgent attempt goes beyond it.
-		return size == 1 && len(t.running) == lessUrgent && lessUrgent == 1
+		return t.service.overloadControl && size == 1 && len(t.running) == lessUrgent && lessUrgent == 1
 	}
 	return size == 1 || !t.service.expectsMoreUrgent(now, priority) || sameOrLess < size-reservedPlaces
 }
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -15,17 +15,21 @@
 // service holds the targets of a service and the sub-requests that are queued
 // for them.
 type service struct {
-	name        string
-	config      catalog.Service
-	routed      bool          // a route of the configuration names it
-	isShard     bool          // a fan-out names it
-	objective   time.Duration // shortest one of the routes that name it; zero if there is none
-	targets     []*target
-	queue       []*subRequest    // see urgency
-	arrivals    map[int]arrivals // by priority
-	budget      *retry.Budget
-	meanAttempt time.Duration // mean latency of attempts
-	meanAtPace1 time.Duration // the same, divided by the pace of the target
+	name      string
+	config    catalog.Service
+	routed    bool          // a route of the configuration names it
+	isShard   bool          // a fan-out names it
+	objective time.Duration // shortest one of the routes that name it; zero if there is none
+	// overloadControl is set where no rates bound the demand: short queues at targets,
+	// queues ordered by objectives, places for urgent queries, and admission by what
+	// targets report.
+	overloadControl bool
+	targets         []*target
+	queue           []*subRequest    // see urgency
+	arrivals        map[int]arrivals // by priority
+	budget          *retry.Budget
+	meanAttempt     time.Duration // mean latency of attempts
+	meanAtPace1     time.Duration // the same, divided by the pace of the target
 }
 
 // service returns the service of a name. It creates the state of one that is
@@ -35,14 +39,29 @@
 	if s == nil {
 		s = &service{name: name, budget: retry.NewBudget(e.settings.Retry, e.sharers())}
 		if e.config != nil {
-			s.config = e.config.Services[name]
-			s.routed, s.isShard, s.objective = e.config.IsRouted(name), e.config.IsShard(name), e.config.ShortestObjective(name)
+			s.applyConfig(e.config)
 		}
 		e.services[name] = s
 	}
 	return s
 }
 
+// applyConfig sets what a configuration says of the service.
+func (s *service) applyConfig(c *catalog.Config) {
+	s.config = c.Services[s.name]
+	s.routed, s.isShard, s.objective = c.IsRouted(s.name), c.IsShard(s.name), c.ShortestObjective(s.name)
+	s.overloadControl = !c.LimitsDemand()
+}
+
+// queueObjective returns the objective by which the queues of the targets are bounded,
+// zero without overload control.
+func (s *service) queueObjective() time.Duration {
+	if !s.overloadControl {
+		return 0
+	}
+	return s.objective
+}
+
 // divideRetryBudget sets this VM's share of the service's retry budget.
 func (e *Engine) divideRetryBudget(s *service) {
 	s.budget.SetSettings(e.settings.Retry, e.sharers())
--- a/core/serve/window.go
+++ b/core/serve/window.go
@@ -43,10 +43,11 @@
 func (w *window) shed() { w.limit = max(w.limit*limitDecrease, 1) }
 
 // answered adjusts the window to an answer to an attempt that began at started.
-// load is the last report of the target, which is zero if it reports none.
+// load is the last report of the target, which is zero if it reports none. objective
+// bounds the queue of the target; if it is zero, a long queue only ends the growth.
 func (w *window) answered(now, started time.Time, load Load, slots int, objective time.Duration, most float64) {
 	longest := queueBound(slots, objective, w.serviceTime)
-	if load.Queued > longest {
+	if objective > 0 && load.Queued > longest {
 		w.decrease(now, started, load, slots+longest)
 		return
 	}
