--- a/core/serve/missing.go
+++ b/core/serve/missing.go
@@ -68,5 +68,6 @@
 
 // isFast reports whether the target is expected to answer in about the usual time.
 func (t *target) isFast(now time.Time) bool {
-	return t.registered(now) && !t.ejected(now) && !t.backsOff(now) && !t.stalled(now) && t.expectedSlowness(now) < slowTargetFactor
+	return t.registered(now) && !t.ejected(now) && !t.backsOff(now) && !t.stalled(now) &&
+		t.expectedSlowness(now)*t.expectedPace(now) < slowTargetFactor
 }
