Let a VM with few callers wait before it uses a new connection

Cause: a target whose connections are all taken accepts a new one and resets it a round trip later. A VM without kept connections wrote its request by then, so that the answer had to be 502 ("may have run") although no target had read it. Change: such a VM uses a new connection to a service without shards after 4 ms. A reset in that time leaves the request unwritten; it goes elsewhere or is refused as not run. TestInactiveVMKeepsNoConnections lets that time pass, with the same checks.

--- a/core/serve/conns.go
+++ b/core/serve/conns.go
@@ -152,6 +152,7 @@
 		e.dropConn(c, ConnIdle)
 		return
 	}
+	e.settle(now, c)
 	e.ensureSpareConn(now, t)
 	e.startQueued(now, t.service)
 }
--- a/core/serve/engine_test.go
+++ b/core/serve/engine_test.go
@@ -270,6 +270,7 @@
 	id := h.submit("/read/x")
 	assert.Assert(t, h.answers[id] == nil)
 	h.openAll()
+	h.advance(settleTime)
 	for h.running("single") > 0 {
 		h.answer(h.takeAttempt("single"), "body")
 	}
--- a/core/serve/queueconns.go
+++ b/core/serve/queueconns.go
@@ -16,6 +16,22 @@
 	poolSpareTargets = 8
 )
 
+// settleTime is how long a VM that gets few callers waits before it uses a new
+// connection. A target whose connections are all taken resets a new one one round trip
+// after it was opened; a request that was written by then may have run for all that the
+// VM knows. VMs with callers keep connections that have carried answers, and requests
+// for shards may run again.
+const settleTime = 4 * time.Millisecond
+
+// settle lets a new connection be used after settleTime.
+func (e *Engine) settle(now time.Time, c *conn) {
+	if e.view.IsActive() || c.target.service.isShard {
+		return
+	}
+	c.usableAt = now.Add(settleTime)
+	e.maintainAt = earlierOf(e.maintainAt, c.usableAt)
+}
+
 // connectForQueue opens connections for the queued work of a service: to targets of
 // this zone first, and beginning with another one for each query, so that the requests
 // of many VMs spread over the targets.
--- a/core/serve/queueconns_test.go
+++ b/core/serve/queueconns_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/anvilfork/anvilfork/core/mesh"
+	"github.com/anvilfork/anvilfork/core/outcome"
 )
 
 // poolHarness returns a harness whose VM gets few callers, with many targets of the
@@ -37,10 +38,33 @@
 		assert.Equal(t, h.everKnown[c.Address].Zone, "z0", "a target of another zone")
 	}
 	h.openAll()
+	h.advance(settleTime)
 	h.answer(h.takeAttempt("single"), record("a"))
 	assert.Assert(t, h.answers[id].Response != nil)
 }
 
+// Guards against a request that may have run for all that its caller learns, although no
+// target has read it: a target whose connections are all taken resets a new one shortly
+// after it was opened.
+func TestFaultTargetsResetNewConnections(t *testing.T) {
+	h := poolHarness(t, replicas)
+	id := h.submit("/write/x")
+	for range 5 {
+		opening := h.connecting
+		h.openAll()
+		h.advance(2 * time.Millisecond)
+		for _, c := range opening {
+			if h.engine.conns[c.Conn] != nil {
+				h.step(ConnClosed{Conn: c.Conn, Cause: "connection reset by peer"})
+			}
+		}
+		h.advance(maintenanceInterval)
+	}
+	assert.Equal(t, len(h.started), 0)
+	assert.Assert(t, h.answers[id] != nil, "the request waits until its deadline")
+	assert.Equal(t, h.answers[id].Refusal.Outcome, outcome.NotRun)
+}
+
 // Guards against a request that waits for targets that do not accept connections while
 // others would.
 func TestFaultConnectionsOfQueuedWorkHang(t *testing.T) {
--- a/core/serve/target.go
+++ b/core/serve/target.go
@@ -88,6 +88,7 @@
 	open           bool
 	verified       bool // has carried an answer; a target whose connections are all taken resets a new one before that
 	attempt        *attempt
+	usableAt       time.Time // see settleTime
 	targetClosesAt time.Time // when the target closes it if it stays idle; zero if unknown
 	usedAt         time.Time
 }
@@ -134,11 +135,11 @@
 func (t *target) ejected(now time.Time) bool { return now.Before(t.ejectedUntil) }
 
 // idleConn returns the most recently used idle connection, or nil. It skips
-// connections that the target is about to close.
+// connections that the target is about to close, and those that it may not accept.
 func (t *target) idleConn(now time.Time) *conn {
 	var best *conn
 	for _, c := range t.conns {
-		if !c.open || c.attempt != nil || !c.targetClosesAt.IsZero() && !now.Before(c.targetClosesAt) {
+		if !c.open || c.attempt != nil || now.Before(c.usableAt) || !c.targetClosesAt.IsZero() && !now.Before(c.targetClosesAt) {
 			continue
 		}
 		if best == nil || c.usedAt.After(best.usedAt) {
