Order the copy of the store by era and revision

Cause: when the platform's store returns from an older copy, its revisions go back and are used again. The copy compared revisions alone: a listing of a lower revision was ignored, a new entry under a used revision was taken for a known one, and what the copy of the store had lost counted as removed.

Change: mirror.Version{Era, Revision} orders the copy, its tombstones, listings, watches, deltas, heartbeats and confirmations. A copy enters another era with a full update only. What the last copy of the earlier era held, and what catalog.Outlives finds not decided by the new era, stays beside the copy (mirror.Past) and hides the present entry; VMs exchange it by the version of the copy that it comes from. Lost entries count as lapsed for lapseGrace from the first read of the new era, as after an outage. A copy that began with a listing gives all entries to copies of before it, since it does not know which were deleted until then.

TestSeriesAreDescribed accepts the suffixes _entries and _era for gauges without a unit.

--- a/core/catalog/target.go
+++ b/core/catalog/target.go
@@ -13,6 +13,7 @@
 	Draining        bool
 	WarmupLeft      time.Duration // remaining time for which it is cold, as of the registration
 	StartedUnixMs   int64         // start of the process; a later process may reuse the id
+	Sequence        uint64        // rises with each write of the process; zero if it is not stated
 }
 
 // SameProcess reports whether two registrations belong to the same process of the
--- a/core/mesh/delta.go
+++ b/core/mesh/delta.go
@@ -17,7 +17,7 @@
 // tree, so that a change does not wait for heartbeats, whose interval grows with
 // the fleet. When a delta is lost, the next heartbeat brings the changes.
 type Delta struct {
-	After       uint64
+	After       mirror.Version
 	Update      *mirror.Update
 	RegainedAge time.Duration // see HeartbeatReply.RegainedAge
 }
@@ -39,24 +39,26 @@
 func (ForwardDelta) action() {}
 
 // handleDelta merges and forwards a delta from another VM. It ignores a delta that
-// is not newer than the copy, and one that starts after the copy's revision, which
-// would leave a gap.
+// is not newer than the copy, and one that starts after the copy's version or in another
+// era, which would leave a gap.
 func (m *Machine) handleDelta(now time.Time, d Delta) {
-	if d.Update.Revision <= m.storeCopy.Revision() || !d.Update.Full && d.After > m.storeCopy.Revision() {
+	known := m.storeCopy.Version()
+	leavesGap := !d.Update.Full && (known.Before(d.After) || d.After.Era != known.Era)
+	if !known.Before(d.Update.Version()) || leavesGap || !m.trustsEra(d.Update.Era) {
 		return
 	}
 	m.learnRegained(now, d.RegainedAge)
-	m.applyUpdate(now, d.Update)
+	m.applyUpdate(now, d.Update, nil)
 	m.forwardChanges(now)
 }
 
 // applyReplyUpdate merges and forwards the update in the reply to a heartbeat. A
 // first copy is not forwarded, since the others have it already.
-func (m *Machine) applyReplyUpdate(now time.Time, u *mirror.Update) {
-	first := m.storeCopy.Revision() == 0
-	m.applyUpdate(now, u)
+func (m *Machine) applyReplyUpdate(now time.Time, u *mirror.Update, past *mirror.Past) {
+	first := !m.hasCopy()
+	m.applyUpdate(now, u, past)
 	if first {
-		m.forwardedRevision = m.storeCopy.Revision()
+		m.forwarded = m.storeCopy.Version()
 		return
 	}
 	m.forwardChanges(now)
@@ -76,14 +78,17 @@
 // fewer calls, so nothing is forwarded.
 func (m *Machine) forwardChanges(now time.Time) {
 	if m.idleHeartbeatInterval() <= minHeartbeatInterval {
-		m.forwardedRevision = m.storeCopy.Revision()
+		m.forwarded = m.storeCopy.Version()
 		return
 	}
-	d := Delta{After: m.forwardedRevision, Update: m.storeCopy.Since(m.forwardedRevision), RegainedAge: m.regainedAge(now)}
+	if m.storeCopy.Version().Before(m.forwarded) { // an era that was read before proved wrong
+		m.forwarded = m.storeCopy.Version()
+	}
+	d := Delta{After: m.forwarded, Update: m.storeCopy.Since(m.forwarded), RegainedAge: m.regainedAge(now)}
 	if d.Update == nil {
 		return
 	}
-	m.forwardedRevision = d.Update.Revision
+	m.forwarded = d.Update.Version()
 	if len(d.Update.Entries) == 0 {
 		return
 	}
--- a/core/mesh/delta_test.go
+++ b/core/mesh/delta_test.go
@@ -94,12 +94,12 @@
 		delta Delta
 		want  uint64
 	}{
-		{Delta{After: 4, Update: &mirror.Update{Revision: 5, Entries: []mirror.Entry{entry("x", 5)}}}, 0},
+		{Delta{After: mirror.Version{Revision: 4}, Update: &mirror.Update{Revision: 5, Entries: []mirror.Entry{entry("x", 5)}}}, 0},
 		{Delta{Update: &mirror.Update{Revision: 5, Full: true, Entries: []mirror.Entry{entry("x", 5)}}}, 5},
-		{Delta{After: 6, Update: &mirror.Update{Revision: 7, Entries: []mirror.Entry{entry("x", 7)}}}, 5},
-		{Delta{After: 4, Update: &mirror.Update{Revision: 6, Entries: []mirror.Entry{entry("x", 5), entry("y", 6)}}}, 6},
-		{Delta{After: 6, Update: &mirror.Update{Revision: 7, Entries: []mirror.Entry{entry("x", 7)}}}, 7},
-		{Delta{After: 4, Update: &mirror.Update{Revision: 6, Entries: []mirror.Entry{entry("y", 6)}}}, 7},
+		{Delta{After: mirror.Version{Revision: 6}, Update: &mirror.Update{Revision: 7, Entries: []mirror.Entry{entry("x", 7)}}}, 5},
+		{Delta{After: mirror.Version{Revision: 4}, Update: &mirror.Update{Revision: 6, Entries: []mirror.Entry{entry("x", 5), entry("y", 6)}}}, 6},
+		{Delta{After: mirror.Version{Revision: 6}, Update: &mirror.Update{Revision: 7, Entries: []mirror.Entry{entry("x", 7)}}}, 7},
+		{Delta{After: mirror.Version{Revision: 4}, Update: &mirror.Update{Revision: 6, Entries: []mirror.Entry{entry("y", 6)}}}, 7},
 	} {
 		m.Step(epoch, c.delta)
 		assert.Equal(t, m.storeCopy.Revision(), c.want)
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -128,10 +128,13 @@
 
 // heartbeatRequest returns the heartbeat to send to an address.
 func (m *Machine) heartbeatRequest(addr string) *HeartbeatRequest {
-	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), Demand: m.localDemand, Crashes: m.localCrashes, TimeoutsSum: m.timeouts.sum}
+	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), StoreEra: m.storeCopy.Version().Era, StatesEra: true, PastAsOf: m.storeCopy.PastAsOf(), Demand: m.localDemand, Crashes: m.localCrashes, TimeoutsSum: m.timeouts.sum}
 	if c := m.heartbeats[addr]; c != nil && c.answered && c.hubSum != m.timeouts.sum {
 		r.Timeouts = m.timeouts.list()
 	}
+	if c := m.heartbeats[addr]; c != nil && c.answered && c.hubEra == r.StoreEra && c.hubPastAsOf.Before(r.PastAsOf) {
+		r.Past = m.storeCopy.Past()
+	}
 	for _, peer := range m.members {
 		if peer.node.Peer == addr {
 			r.NodesSeq, r.NodesEpoch = peer.reachableSeq, peer.node.StartedUnixMs
@@ -157,23 +160,22 @@
 		m.mergeTimeouts(ev.Request.Timeouts)
 		m.peerDemands[peer.node.ID] = peerDemand{demand: ev.Request.Demand, receivedAt: now, ttl: shareTTL(interval)}
 	}
+	m.mergePast(now, ev.Request.StoreEra, ev.Request.Past)
 	m.emit(AnswerHeartbeat{Ticket: ev.Ticket, Reply: m.heartbeatReply(now, ev.Request)})
 }
 
 // heartbeatReply returns the reply to a heartbeat, with the changes that its
 // sender lacks.
 func (m *Machine) heartbeatReply(now time.Time, r *HeartbeatRequest) *HeartbeatReply {
-	reply := &HeartbeatReply{From: m.self, Update: m.storeCopy.Since(r.StoreRevision), FleetDemand: m.demandFor(now, r), Blocked: m.blockedFingerprints(), CopyAge: -1, RegainedAge: m.regainedAge(now), TimeoutsSum: m.timeouts.sum}
+	reply := &HeartbeatReply{From: m.self, FleetDemand: m.demandFor(now, r), Blocked: m.blockedFingerprints(), CopyAge: -1, RegainedAge: m.regainedAge(now), TimeoutsSum: m.timeouts.sum}
 	if r.TimeoutsSum != m.timeouts.sum {
 		reply.Timeouts = m.timeouts.list()
 	}
-	if !m.storeCopy.ConfirmedAt().IsZero() {
-		reply.CopyAge = now.Sub(m.storeCopy.ConfirmedAt())
-	}
+	m.addStore(now, reply, r)
 	if !m.isHub() {
 		reply.Hubs = m.answeringHubs(now)
 	}
-	if r.StoreRevision == 0 && m.storeCopy.Revision() == 0 {
+	if r.StoreRevision == 0 && !m.hasCopy() {
 		reply.Nodes, reply.FleetSize = m.likelyHubs(), len(m.members)+1
 		return reply
 	}
@@ -235,6 +237,7 @@
 		demand.own, demand.ttl = m.limitSurge(c.sentDemand, c.prevDemand), shareTTL(c.interval)
 		m.answeredInterval = c.interval
 		c.inFlight, c.answered, c.hubSum = false, true, ev.Reply.TimeoutsSum
+		c.hubEra, c.hubPastAsOf = ev.Reply.StoreEra, ev.Reply.PastAsOf
 		c.nextAt = ev.Sent.Add(m.heartbeatDelay(c, ev.Reply.Update != nil))
 	}
 	reply := ev.Reply
@@ -255,16 +258,7 @@
 	demand.totals = reply.FleetDemand
 	m.hubDemands[hub.node.ID] = demand
 	m.learnRegained(ev.Sent, reply.RegainedAge)
-	if reply.Update != nil {
-		m.applyReplyUpdate(now, reply.Update)
-	}
-	if reply.CopyAge >= 0 {
-		asOf := m.storeCopy.Revision()
-		if reply.Update != nil {
-			asOf = reply.Update.Revision
-		}
-		m.confirmCopy(asOf, ev.Sent.Add(-reply.CopyAge))
-	}
+	m.mergeStore(now, ev.Sent, reply)
 	m.viewDirty = true
 }
 
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -63,6 +63,9 @@
 type Settings struct {
 	Self  Node
 	Seeds []string // peer addresses to contact first; they may be stale
+	// Outlives decides which entries are kept when the store returns from an older
+	// copy; nil for none.
+	Outlives mirror.Outlives
 }
 
 // member is what this VM knows of another VM.
@@ -103,6 +106,8 @@
 	sentDemand  []WorkspaceDemand // demand in the last heartbeat
 	prevDemand  []WorkspaceDemand // demand in the heartbeat before it
 	hubSum      uint64            // checksum of the timeouts in the last reply
+	hubEra      uint64            // era of the copy in the last reply
+	hubPastAsOf mirror.Version    // PastAsOf of the last reply
 	withoutCopy int               // consecutive heartbeats that brought no copy, while this VM has none
 }
 
@@ -133,7 +138,9 @@
 	nextReadAt        time.Time
 	readFailures      int
 	outage            outageEvidence
-	forwardedRevision uint64 // store revision up to which changes were forwarded
+	forwarded         mirror.Version // version of the store up to which changes were forwarded
+	readFrom          mirror.Version // version after which the read in flight reads; zero for a listing
+	eras              eraEvidence
 	changeSeq         uint64 // number of the last change to members
 	removals          []removal
 	forgottenSeq      uint64        // change number up to which removals were dropped
@@ -153,7 +160,7 @@
 		self: s.Self, seeds: s.Seeds, started: now, lastStep: now, nextReadAt: now,
 		members: make(map[fleet.VMID]*member), heartbeats: make(map[string]*heartbeatState),
 		peerDemands: make(map[fleet.VMID]peerDemand), hubDemands: make(map[fleet.VMID]hubDemand), unresponsiveSince: make(map[fleet.VMID]time.Time),
-		viewDirty: true,
+		storeCopy: mirror.New(s.Outlives), viewDirty: true,
 	}
 	m.heartbeatAddrs = m.chooseHeartbeatAddrs()
 	return m
@@ -257,25 +264,3 @@
 		c.nextAt = now
 	}
 }
-
-// applyUpdate merges an update into the copy of the store. The first copy ends
-// the phase Starting.
-func (m *Machine) applyUpdate(now time.Time, u *mirror.Update) {
-	if changed := m.storeCopy.Apply(u); len(changed) > 0 {
-		m.emit(EntriesChanged{Entries: changed, LapseEnd: m.lapseEnd(now)})
-	}
-	if m.self.Phase == Starting && m.storeCopy.Revision() > 0 {
-		m.self.Phase = Serving
-		m.markSelfChanged(now)
-	}
-}
-
-// confirmCopy records that a copy of revision asOf was complete at a time.
-func (m *Machine) confirmCopy(asOf uint64, at time.Time) {
-	before := m.storeCopy.ConfirmedAt()
-	m.storeCopy.Confirm(asOf, at)
-	if m.storeCopy.ConfirmedAt().After(before) {
-		m.viewDirty = true
-		m.forgetOldFailures()
-	}
-}
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -61,10 +61,14 @@
 // the sender already has.
 type HeartbeatRequest struct {
 	From          Node
-	Interval      time.Duration // until the sender's next heartbeat; zero from VMs of earlier versions
-	StoreRevision uint64        // revision of the sender's copy of the store
-	NodesSeq      uint64        // NodesSeq of the last reply from this hub
-	NodesEpoch    int64         // start of the hub's process that NodesSeq belongs to, in Unix milliseconds
+	Interval      time.Duration  // until the sender's next heartbeat; zero from VMs of earlier versions
+	StoreRevision uint64         // revision of the sender's copy of the store
+	StoreEra      uint64         // era of that copy
+	StatesEra     bool           // false from VMs of earlier versions, which know no eras
+	PastAsOf      mirror.Version // of the copy that the sender keeps past entries from
+	Past          *mirror.Past   // those entries, if the receiver is known to keep older ones
+	NodesSeq      uint64         // NodesSeq of the last reply from this hub
+	NodesEpoch    int64          // start of the hub's process that NodesSeq belongs to, in Unix milliseconds
 	Demand        []WorkspaceDemand
 	Crashes       []Crash
 	TimeoutsSum   uint64         // checksum of the timeouts that the sender knows; zero for none
@@ -76,8 +80,12 @@
 type HeartbeatReply struct {
 	From        Node
 	CopyAge     time.Duration  // since the hub's copy of the store was confirmed to be complete; negative when it never was
-	RegainedAge time.Duration  // since the fleet could read the store again after an outage; zero when there was none lately
+	RegainedAge time.Duration  // since the fleet could read the store again after an outage or a rewind; zero when there was none lately
+	StoreEra    uint64         // era of the hub's copy
+	StatesEra   bool           // false from VMs of earlier versions, which know no eras
 	Update      *mirror.Update // nil when the sender's copy is as new as the hub's
+	PastAsOf    mirror.Version // of the copy that the hub keeps past entries from
+	Past        *mirror.Past   // those entries, if the sender of the heartbeat keeps older ones
 	NodesSeq    uint64         // number of the last change to the hub's members
 	FleetSize   int            // number of VMs that the hub knows, if Nodes holds only those that are to be hubs
 	NodesFull   bool           // Nodes holds all members, not only those that changed
@@ -126,7 +134,8 @@
 
 // StoreFailed reports that a read of the store failed.
 type StoreFailed struct {
-	HistoryGone bool // the store no longer has the changes after the requested revision
+	HistoryGone bool   // the store no longer has the changes after the requested revision
+	Era         uint64 // that the answer states; zero for none
 }
 
 // LocalDemand reports the demand of this VM's callers and the crashes that this VM
@@ -183,12 +192,22 @@
 // EntriesChanged publishes the entries of the store that changed.
 type EntriesChanged struct {
 	Entries []mirror.Entry
+	Era     uint64 // of the copy; entries of an earlier one are kept past a rewind
 	// LapseEnd is the time until which deleted entries may be back, as they may have
 	// lapsed only because their writers could not reach the store either. It is zero
 	// if the store was not away: the entries were removed.
 	LapseEnd time.Time
 }
 
+// LapseEndOf returns LapseEnd for one of the entries. A deletion in an earlier era was
+// no lapse.
+func (c *EntriesChanged) LapseEndOf(e *mirror.Entry) time.Time {
+	if e.Era != c.Era {
+		return time.Time{}
+	}
+	return c.LapseEnd
+}
+
 // ViewChanged publishes a new View.
 type ViewChanged struct{ View *View }
 
@@ -204,6 +223,16 @@
 	CopyAge time.Duration // since the copy was confirmed last
 }
 
+// StoreRewound reports that the store returned from an older copy, and that this VM
+// reads or was told its new era.
+type StoreRewound struct {
+	From, To mirror.Version
+	Kept     map[mirror.Reason]int // entries that are kept although the store lacks them or has them otherwise
+}
+
+// EraIgnored reports that an answer of the store was ignored because of its era.
+type EraIgnored struct{ Known, Era uint64 }
+
 // PeerLost reports that a VM is no longer a member: it became unresponsive, or its
 // process is gone.
 type PeerLost struct {
@@ -222,6 +251,8 @@
 func (StoreLost) action()       {}
 func (StoreRecovered) action()  {}
 func (OutageEnded) action()     {}
+func (StoreRewound) action()    {}
+func (EraIgnored) action()      {}
 func (PeerLost) action()        {}
 func (PeerFound) action()       {}
 
@@ -243,6 +274,15 @@
 	Reader    bool              // this VM reads the store for the others
 	Hubs      []fleet.VMID
 	Timeouts  map[string]time.Duration // longest time that callers wait, by route
+	Store     StoreState
+}
+
+// StoreState describes the copy of the store.
+type StoreState struct {
+	Era     uint64
+	Rewinds int                   // times that the era changed since the start of this VM
+	Ignored int                   // reads that were ignored because of their era
+	Kept    map[mirror.Reason]int // entries that are kept past a rewind
 }
 
 // IsActive reports whether callers are sent to this VM.
--- a/core/mesh/outage.go
+++ b/core/mesh/outage.go
@@ -4,10 +4,11 @@
 
 // A target's entry goes missing for one of two reasons: it was removed, or it lapsed
 // because its target could not reach the store. Only the second kind is worth waiting
-// for, and only an outage of the store causes it. An old copy shows no outage: the
-// reader may have been frozen or cut off, while the targets reached the store all the
-// time. So the fleet decides by reads that were tried and not answered, of several VMs,
-// since the copy was last confirmed. The VM that reads the store first afterwards
+// for, and only two faults of the store cause it: an outage, and the return from an
+// older copy, which the era of its answers shows. An old copy of this VM shows no
+// outage: the reader may have been frozen or cut off, while the targets reached the
+// store all the time. So the fleet decides by reads that were tried and not answered, of several VMs,
+// since the copy was last confirmed. The VM that reads the store, or its new era, first
 // decides, and tells the others together with the entries.
 
 const (
@@ -32,7 +33,7 @@
 	listing      bool      // the read in flight is a listing, which may take long
 	failingSince time.Time // start of the first read that failed since the copy was last confirmed; zero for none
 	awayAt       time.Time // when the store was found to be away, if it has answered nobody since; else zero
-	regainedAt   time.Time // when the store was read again after its last outage
+	regainedAt   time.Time // when the store was read again after its last outage, or first in its present era
 }
 
 // readStarted records the start of a read of the store.
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/anvilfork/anvilfork/core/mirror"
 )
 
 // startRead starts a read of the store when one is due and none is in flight.
@@ -17,10 +19,11 @@
 		return
 	}
 	m.readInFlight = true
-	after := m.storeCopy.Revision()
+	m.readFrom = m.storeCopy.Version()
 	if m.needsListing {
-		after = 0
+		m.readFrom = mirror.Version{}
 	}
+	after := m.readFrom.Revision
 	m.outage.readStarted(now, after == 0)
 	m.emit(ReadStore{After: after, Wait: watchTimeout})
 }
@@ -30,11 +33,11 @@
 // long that either the reader can't reach the store or this VM can't reach the
 // reader.
 func (m *Machine) readDue() time.Time {
-	if m.self.Phase == Leaving && m.storeCopy.Revision() > 0 {
+	if m.self.Phase == Leaving && m.hasCopy() {
 		return time.Time{}
 	}
 	due := m.nextReadAt
-	if m.storeCopy.Revision() == 0 {
+	if !m.hasCopy() {
 		return later(due, m.firstReadDue())
 	}
 	if m.isReader() {
@@ -93,15 +96,18 @@
 func (m *Machine) handleStoreRead(now time.Time, ev StoreRead) {
 	m.readInFlight = false
 	m.nextReadAt = ev.Sent.Add(minReadInterval)
-	m.needsListing = false
 	if m.readFailures >= failuresBeforeUnreachable {
 		m.emit(StoreRecovered{})
 	}
 	m.readFailures = 0
 	m.setStoreDenied(now, false)
+	if !m.acceptRead(now, ev.Update) {
+		return
+	}
+	m.needsListing = false
 	m.noteStoreRead(now)
-	m.applyUpdate(now, ev.Update)
-	m.confirmCopy(ev.Update.Revision, completeAsOf(now, &ev))
+	m.applyRead(now, ev.Update)
+	m.confirmCopy(ev.Update.Version(), completeAsOf(now, &ev))
 	m.forwardChanges(now)
 }
 
@@ -124,6 +130,9 @@
 // gone, the next read is a listing without delay.
 func (m *Machine) handleStoreFailed(now time.Time, ev StoreFailed) {
 	m.readInFlight = false
+	if ev.Era > m.storeCopy.Version().Era && m.trustsEra(ev.Era) {
+		m.needsListing = true
+	}
 	if ev.HistoryGone {
 		m.needsListing = true
 		m.nextReadAt = now
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -17,7 +17,7 @@
 	var m Mirror
 	m.Apply(&Update{Revision: 10, Full: true, Entries: []Entry{{Key: "a", Revision: 5}, {Key: "b", Revision: 12}}})
 	m.Apply(&Update{Revision: 13, Entries: []Entry{{Key: "b", Revision: 11, Deleted: true}, {Key: "b", Revision: 12}, {Key: "a", Revision: 13, Deleted: true}}})
-	u := m.Since(0)
+	u := m.Since(Version{})
 	assert.Equal(t, len(u.Entries), 1)
 	assert.Equal(t, u.Entries[0].Key, "b")
 }
@@ -37,10 +37,10 @@
 func TestConfirmIgnoresOlderRevisions(t *testing.T) {
 	var m Mirror
 	m.Apply(&Update{Revision: 10})
-	m.Confirm(9, epoch)
+	m.Confirm(Version{Revision: 9}, epoch)
 	assert.Assert(t, m.ConfirmedAt().IsZero())
-	m.Confirm(10, epoch)
-	m.Confirm(10, epoch.Add(-time.Second))
+	m.Confirm(Version{Revision: 10}, epoch)
+	m.Confirm(Version{Revision: 10}, epoch.Add(-time.Second))
 	assert.Equal(t, m.ConfirmedAt(), epoch)
 }
 
@@ -62,12 +62,12 @@
 			u.Revision = revision
 			origin.Apply(&u)
 			if rapid.Bool().Draw(t, "told") {
-				if since := origin.Since(follower.Revision()); since != nil {
+				if since := origin.Since(follower.Version()); since != nil {
 					follower.Apply(since)
 				}
 			}
 		}
-		if since := origin.Since(follower.Revision()); since != nil {
+		if since := origin.Since(follower.Version()); since != nil {
 			follower.Apply(since)
 		}
 		assert.Equal(t, len(follower.entries), len(origin.entries))
--- /dev/null
+++ b/core/mirror/rewind.go
@@ -0,0 +1,200 @@
+package mirror
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Reason tells why an entry is kept past a rewind of the store. The empty reason means
+// that it is not kept.
+type Reason string
+
+// Outlives decides whether a past entry, of an earlier era, still counts in place of the
+// present one. Each may be a tombstone; a present entry that the store does not have
+// is one. Written tells that the store was seen to write or delete the present entry
+// in its present era, so that it is no remainder of the older copy.
+type Outlives func(past, present Entry, written bool) Reason
+
+// Past is what a copy of an earlier era held and what still counts. That of the newest
+// copy is the best one.
+type Past struct {
+	AsOf    Version // version of that copy; zero when there is none
+	Entries []Entry
+}
+
+// EraStart returns the store's revision when its present era was first listed, as far
+// as is known. Entries of a later revision were written in this era.
+func (m *Mirror) EraStart() uint64 { return m.eraStart }
+
+// Rewinds returns how often the copy was replaced by one of another era.
+func (m *Mirror) Rewinds() int { return m.rewinds }
+
+// pastEntry is an entry or a tombstone of an earlier era, and why it counts.
+type pastEntry struct {
+	Entry
+	reason Reason
+}
+
+// Kept returns the number of past entries that count, by reason.
+func (m *Mirror) Kept() map[Reason]int {
+	kept := make(map[Reason]int)
+	for _, p := range m.past {
+		kept[p.reason]++
+	}
+	return kept
+}
+
+// Past returns what this copy keeps of earlier eras, sorted by key.
+func (m *Mirror) Past() *Past {
+	p := &Past{AsOf: m.pastAsOf}
+	for _, e := range m.past {
+		p.Entries = append(p.Entries, e.Entry)
+	}
+	slices.SortFunc(p.Entries, compareKeys)
+	return p
+}
+
+// PastAsOf returns the version of the copy that Past comes from.
+func (m *Mirror) PastAsOf() Version { return m.pastAsOf }
+
+// Rewind replaces the copy by a full update of another era, and returns the entries
+// that changed. What the copy held before and the update lacks or has otherwise
+// becomes past, as far as it outlives the rewind.
+func (m *Mirror) Rewind(u *Update) []Entry {
+	before, former := m.effective(), m.version
+	for _, t := range m.tombstones {
+		if _, exists := before[t.Key]; !exists {
+			before[t.Key] = t
+		}
+	}
+	m.entries, m.past = make(map[string]Entry, len(u.Entries)), make(map[string]pastEntry)
+	m.tombstones, m.lastUpdate = nil, nil
+	m.version, m.dropped, m.pastAsOf = u.Version(), u.Version(), former
+	m.eraStart = cmp.Or(u.EraStart, u.Revision)
+	m.rewinds++
+	for _, e := range u.Entries {
+		if e.Deleted {
+			continue
+		}
+		e.Era = u.Era
+		m.entries[e.Key] = e
+		if _, known := before[e.Key]; !known && e.Revision <= min(former.Revision, m.eraStart) {
+			// The former copy held every entry up to its revision, so that this one
+			// had been deleted.
+			before[e.Key] = Entry{Key: e.Key, Era: former.Era, Revision: former.Revision, Deleted: true}
+		}
+	}
+	for _, e := range before {
+		m.keepPast(e)
+	}
+	return m.changesFrom(before)
+}
+
+// MergePast takes over what another copy of the same era keeps of earlier ones, if
+// that is from a newer copy than what this one keeps, and returns the entries that
+// changed.
+func (m *Mirror) MergePast(p *Past) []Entry {
+	if !m.pastAsOf.Before(p.AsOf) {
+		return nil
+	}
+	before := m.effective()
+	m.pastAsOf, m.past = p.AsOf, make(map[string]pastEntry, len(p.Entries))
+	for _, e := range p.Entries {
+		m.keepPast(e)
+	}
+	return m.changesFrom(before)
+}
+
+// keepPast makes an entry of an earlier era a past one if it outlives the rewind, and
+// reports whether it does.
+func (m *Mirror) keepPast(e Entry) bool {
+	reason := m.reasonToKeep(e)
+	if reason == "" {
+		delete(m.past, e.Key)
+		return false
+	}
+	m.past[e.Key] = pastEntry{Entry: e, reason: reason}
+	return true
+}
+
+// settlePast drops past entries that changes of the copy have decided, and returns the
+// changes without those that are hidden by past entries. It takes over an earlier
+// start of the era.
+func (m *Mirror) settlePast(changed []Entry, eraStart uint64) []Entry {
+	if eraStart > 0 && eraStart < m.eraStart {
+		m.eraStart = eraStart
+		for key := range m.past {
+			if !slices.ContainsFunc(changed, func(e Entry) bool { return e.Key == key }) {
+				changed = append(changed, m.present(key))
+			}
+		}
+	}
+	if len(m.past) == 0 {
+		return changed
+	}
+	return slices.DeleteFunc(changed, func(e Entry) bool {
+		past, isPast := m.past[e.Key]
+		return isPast && m.keepPast(past.Entry)
+	})
+}
+
+// reasonToKeep returns why an entry of an earlier era still counts.
+func (m *Mirror) reasonToKeep(past Entry) Reason {
+	present := m.present(past.Key)
+	if m.outlives == nil || sameContent(past, present) {
+		return ""
+	}
+	return m.outlives(past, present, present.Revision > m.eraStart)
+}
+
+// present returns the entry that the store has of a key in its present era, or a
+// tombstone. One of revision zero means that no deletion was seen.
+func (m *Mirror) present(key string) Entry {
+	if e, exists := m.entries[key]; exists {
+		return e
+	}
+	return Entry{Key: key, Era: m.version.Era, Revision: m.tombstoneVersion(key).Revision, Deleted: true}
+}
+
+// effective returns the entries that count: those of the store, and past ones in their
+// place.
+func (m *Mirror) effective() map[string]Entry {
+	all := maps.Clone(m.entries)
+	if all == nil {
+		all = make(map[string]Entry)
+	}
+	for key, p := range m.past {
+		all[key] = p.Entry
+	}
+	return all
+}
+
+// changesFrom returns the difference between the entries that counted before and those
+// that count now, sorted by key.
+func (m *Mirror) changesFrom(before map[string]Entry) []Entry {
+	var changed []Entry
+	now := m.effective()
+	for key, e := range now {
+		old, existed := before[key]
+		switch {
+		case e.Deleted && (!existed || old.Deleted):
+		case !existed || old.Revision != e.Revision || !sameContent(old, e):
+			changed = append(changed, e)
+		}
+	}
+	for key, old := range before {
+		if _, exists := now[key]; !exists && !old.Deleted {
+			changed = append(changed, Entry{Key: key, Era: m.version.Era, Revision: m.version.Revision, Deleted: true})
+		}
+	}
+	slices.SortFunc(changed, compareKeys)
+	return changed
+}
+
+func sameContent(a, b Entry) bool {
+	return a.Deleted == b.Deleted && bytes.Equal(a.Value, b.Value)
+}
+
+func compareKeys(a, b Entry) int { return cmp.Compare(a.Key, b.Key) }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -91,6 +91,11 @@
 	case mesh.OutageEnded:
 		t.log.Warn().Str("event", "store_outage_ended").Int64("copy_age_ms", a.CopyAge.Milliseconds()).
 			Msg("no VM could read the platform's store; entries that are missing may have lapsed")
+	case mesh.StoreRewound:
+		t.logRewind(a)
+	case mesh.EraIgnored:
+		t.log.Warn().Str("event", "store_era_ignored").Uint64("era", a.Era).Uint64("known_era", a.Known).
+			Msg("a read of the platform's store was ignored because of its era")
 	case mesh.PeerLost:
 		t.log.Warn().Str("event", "vm_lost").Str("vm", string(a.Node.ID)).Str("zone", a.Node.Zone).
 			Int64("silent_ms", a.UnresponsiveFor.Milliseconds()).Msg("a VM is not in touch any more")
@@ -115,13 +120,13 @@
 func (t *controlTask) forwardDelta(ctx context.Context, a mesh.ForwardDelta) {
 	update, err := t.encoder.encodeUpdate(a.Delta.Update)
 	if err != nil { // the other VM learns of the change by a heartbeat
-		t.log.Error().Err(err).Str("event", "news_not_sent").Uint64("after", a.Delta.After).Msg("a change of the store could not be encoded for another VM")
+		t.log.Error().Err(err).Str("event", "news_not_sent").Uint64("after", a.Delta.After.Revision).Msg("a change of the store could not be encoded for another VM")
 		return
 	}
 	go func() {
 		err := t.peers.forward(ctx, a.To.Peer, a.Delta, update)
 		if err != nil {
-			t.log.Debug().Err(err).Str("event", "news_not_taken").Str("vm", string(a.To.ID)).Uint64("after", a.Delta.After).Msg("a change of the store could not be forwarded to another VM")
+			t.log.Debug().Err(err).Str("event", "news_not_taken").Str("vm", string(a.To.ID)).Uint64("after", a.Delta.After.Revision).Msg("a change of the store could not be forwarded to another VM")
 			t.send(ctx, mesh.ForwardFailed(a))
 		}
 	}()
@@ -154,11 +159,21 @@
 	defer cancel()
 	sent := t.clock.now()
 	u, err := t.store.Read(callCtx, a.After, a.Wait)
+	var badEra *EraError
+	if u != nil && errors.As(err, &badEra) {
+		t.log.Warn().Err(err).Str("event", "store_era_unreadable").Uint64("after", a.After).Msg("an answer of the platform's store counts as of era 0")
+		err = nil
+	}
 	if err != nil {
 		var historyGone *HistoryGoneError
+		var stated interface{ StoreEra() uint64 }
+		failed := mesh.StoreFailed{HistoryGone: errors.As(err, &historyGone)}
+		if errors.As(err, &stated) {
+			failed.Era = stated.StoreEra()
+		}
 		t.log.Warn().Err(err).Str("event", "store_read_failed").Uint64("after", a.After).
 			Int64("took_ms", t.clock.now().Sub(sent).Milliseconds()).Msg("a read of the platform's store failed")
-		t.send(ctx, mesh.StoreFailed{HistoryGone: errors.As(err, &historyGone)})
+		t.send(ctx, failed)
 		return
 	}
 	wait := a.Wait
@@ -179,7 +194,7 @@
 				Msg("an entry of the platform's store can't be read")
 		}
 		if change != nil {
-			t.builder.Apply(change, changed.LapseEnd)
+			t.builder.Apply(change, changed.LapseEndOf(&e))
 			t.logChange(change, e.Revision)
 		}
 	}
@@ -191,6 +206,17 @@
 	}
 }
 
+// logRewind logs that the store returned from an older copy.
+func (t *controlTask) logRewind(a mesh.StoreRewound) {
+	kept, total := zerolog.Dict(), 0
+	for reason, n := range a.Kept {
+		kept, total = kept.Int(string(reason), n), total+n
+	}
+	t.log.Warn().Str("event", "store_rewound").Uint64("era", a.To.Era).Uint64("revision", a.To.Revision).
+		Uint64("earlier_era", a.From.Era).Uint64("earlier_revision", a.From.Revision).Int("kept_entries", total).Dict("kept", kept).
+		Msg("the platform's store returned from an older copy")
+}
+
 // logChange logs a new configuration, and a zone that goes out of or into service.
 func (t *controlTask) logChange(c catalog.Change, revision uint64) {
 	switch c := c.(type) {
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -108,6 +108,9 @@
 	case m.relay != nil:
 		t.handleRelayCall(m.relay)
 	default:
+		if fleet, ok := m.event.(serve.FleetChanged); ok {
+			t.metrics.RecordStore(storeMetrics(&fleet.View.Store))
+		}
 		t.releaseFinishedRelay(m.event)
 		t.step(m.event)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,7 @@
 		limits: make(chan catalog.Limits, 1), stopping: make(chan struct{}), drain: make(chan time.Duration),
 	}
 	g.control = &controlTask{
-		clock: c, store: p.Store, log: log, machine: mesh.New(c.now(), meshSettings(c, &s)), builder: catalog.NewBuilder(),
+		clock: c, store: p.Store, log: log, machine: mesh.New(c.now(), meshSettings(&s, p.Store)), builder: catalog.NewBuilder(),
 		inbox: inbox, viewRequests: make(chan chan<- *mesh.View), engine: engine.inbox, limits: g.front.limits,
 		peers: newPeerClient(1), view: &mesh.View{},
 	}
@@ -90,13 +90,13 @@
 	return g, nil
 }
 
-func meshSettings(c clock, s *Settings) mesh.Settings {
+func meshSettings(s *Settings, store Store) mesh.Settings {
 	return mesh.Settings{
 		Self: mesh.Node{
 			ID: s.ID, Peer: s.PeerAddress, Front: s.FrontAddress, Zone: s.Zone, Region: s.Region,
 			StartedUnixMs: time.Now().UnixMilli(), Power: s.Cores,
 		},
-		Seeds: s.Seeds,
+		Seeds: s.Seeds, Outlives: outlives(store),
 	}
 }
 
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/anvilfork/anvilfork/core/mesh"
+	"github.com/anvilfork/anvilfork/core/mirror"
 	"github.com/anvilfork/anvilfork/core/serve"
 	"github.com/anvilfork/anvilfork/internal/http1"
 	"github.com/anvilfork/anvilfork/rpc/peer"
@@ -41,7 +42,16 @@
 func (c *peerClient) exchange(ctx context.Context, address string, r *mesh.HeartbeatRequest) (*mesh.HeartbeatReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	reply, err := peer.NewMeshProtobufClient("http://"+address, c.http).Exchange(ctx, encodeRequest(r))
+	request := encodeRequest(r)
+	if r.Past != nil {
+		var e replyEncoder
+		past, err := e.deflate(encodePast(r.Past))
+		if err != nil {
+			return nil, err
+		}
+		request.Past = past
+	}
+	reply, err := peer.NewMeshProtobufClient("http://"+address, c.http).Exchange(ctx, request)
 	if err != nil {
 		return nil, err
 	}
@@ -52,7 +62,7 @@
 func (c *peerClient) forward(ctx context.Context, address string, d mesh.Delta, update []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	_, err := peer.NewMeshProtobufClient("http://"+address, c.http).Tell(ctx, &peer.MeshNews{After: d.After, Update: update, RegainedAgeUs: encodeAge(d.RegainedAge)})
+	_, err := peer.NewMeshProtobufClient("http://"+address, c.http).Tell(ctx, &peer.MeshNews{After: d.After.Revision, AfterEra: d.After.Era, Update: update, RegainedAgeUs: encodeAge(d.RegainedAge)})
 	return err
 }
 
@@ -69,8 +79,13 @@
 func (s *peerServer) Exchange(ctx context.Context, r *peer.MeshRequest) (*peer.MeshReply, error) {
 	answer := make(chan *peer.MeshReply, 1)
 	ticket := heartbeatTicket{readsPacked: r.GetReadsPacked(), reply: answer}
+	request := decodeRequest(r)
+	var err error
+	if request.Past, err = decodePast(r.GetPast(), request.PastAsOf); err != nil {
+		return nil, twirp.InvalidArgumentError("past", err.Error())
+	}
 	select {
-	case s.control <- mesh.Heartbeat{Request: decodeRequest(r), Ticket: ticket}:
+	case s.control <- mesh.Heartbeat{Request: request, Ticket: ticket}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -89,7 +104,7 @@
 		return nil, twirp.InvalidArgumentError("update", err.Error())
 	}
 	select {
-	case s.control <- mesh.Delta{After: n.GetAfter(), Update: u, RegainedAge: decodeAge(n.GetRegainedAgeUs())}:
+	case s.control <- mesh.Delta{After: mirror.Version{Era: n.GetAfterEra(), Revision: n.GetAfter()}, Update: u, RegainedAge: decodeAge(n.GetRegainedAgeUs())}:
 		return &peer.MeshNewsTaken{}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -44,7 +44,7 @@
 	task := &controlTask{clock: newClock(), log: zerolog.Nop(), inbox: inbox, peers: newPeerClient(1)}
 	sent := mesh.ForwardDelta{
 		To: mesh.Node{ID: "b", Peer: strings.TrimPrefix(server.URL, "http://")},
-		Delta: mesh.Delta{After: 7, Update: &mirror.Update{Revision: 9, Entries: []mirror.Entry{
+		Delta: mesh.Delta{After: mirror.Version{Revision: 7}, Update: &mirror.Update{Revision: 9, Entries: []mirror.Entry{
 			{Key: "x", Value: []byte("1"), Revision: 8}, {Key: "y", Revision: 9, Deleted: true},
 		}}},
 	}
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -8,6 +8,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -22,16 +23,30 @@
 type Store interface {
 	// Read returns all entries when after is zero. Otherwise it waits up to wait
 	// for entries that changed after that revision. The error is a
-	// *HistoryGoneError when the store no longer has these changes.
+	// *HistoryGoneError when the store no longer has these changes. An error that
+	// comes with an answer of the store has a method StoreEra() uint64. With an
+	// *EraError there is an update too, of era 0.
 	Read(ctx context.Context, after uint64, wait time.Duration) (*mirror.Update, error)
 	// Decode returns the change that an entry stands for, nil when the entry is
 	// irrelevant to the VMs.
 	Decode(e mirror.Entry) (catalog.Change, error)
 }
 
-// HistoryGoneError reports that the store no longer has the changes after a
-// revision.
-type HistoryGoneError struct{ After uint64 }
+// HistoryGoneError reports that the store does not have the changes after a revision:
+// not any more, or not in its present era.
+type HistoryGoneError struct {
+	After uint64
+	Era   uint64 // that the answer states; zero for none
+}
+
+// StoreEra returns the era that the answer states.
+func (e *HistoryGoneError) StoreEra() uint64 { return e.Era }
+
+// EraError reports an answer of the store whose era is no number.
+type EraError struct{ Text string }
+
+// Error implements error.
+func (e *EraError) Error() string { return fmt.Sprintf("the store's era %q is no number", e.Text) }
 
 // Error implements error.
 func (e *HistoryGoneError) Error() string { return "the store no longer has the requested changes" }
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -89,6 +89,7 @@
 		From: encodeNode(r.From), EveryMs: uint32(r.Interval.Milliseconds()), AsOf: r.StoreRevision,
 		NodesSeq: r.NodesSeq, NodesOf: r.NodesEpoch, ReadsPacked: true, Offered: encodeOffered(r.Demand),
 		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
+		Era: encodeEra(r.StatesEra, r.StoreEra), PastAsOf: r.PastAsOf.Revision, PastEra: r.PastAsOf.Era,
 	}
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, &peer.MeshCrash{Fingerprint: c.Fingerprint, Count: c.Count})
@@ -100,6 +101,7 @@
 	r := &mesh.HeartbeatRequest{
 		From: decodeNode(m.GetFrom()), Interval: time.Duration(m.GetEveryMs()) * time.Millisecond, StoreRevision: m.GetAsOf(), NodesSeq: m.GetNodesSeq(), NodesEpoch: m.GetNodesOf(), Demand: decodeOffered(m.GetOffered()),
 		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
+		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastAsOf: mirror.Version{Era: m.GetPastEra(), Revision: m.GetPastAsOf()},
 	}
 	for _, c := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, mesh.Crash{Fingerprint: c.GetFingerprint(), Count: c.GetCount()})
@@ -136,6 +138,7 @@
 		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), RegainedAgeUs: encodeAge(r.RegainedAge), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull, Fleet: uint32(r.FleetSize),
 		Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand), Blocked: r.Blocked,
 		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
+		Era: encodeEra(r.StatesEra, r.StoreEra), PastAsOf: r.PastAsOf.Revision, PastEra: r.PastAsOf.Era,
 	}
 	if r.CopyAge < 0 {
 		m.AgeUs = -1
@@ -153,7 +156,12 @@
 		m.Nodes = encodeNodes(r.Nodes)
 	}
 	if r.Update != nil {
-		m.Update, err = e.encodeUpdate(r.Update)
+		if m.Update, err = e.encodeUpdate(r.Update); err != nil {
+			return nil, err
+		}
+	}
+	if r.Past != nil {
+		m.Past, err = e.deflate(encodePast(r.Past))
 	}
 	return m, err
 }
@@ -246,16 +254,17 @@
 		RegainedAge: decodeAge(m.GetRegainedAgeUs()), NodesSeq: m.GetNodesSeq(),
 		NodesFull: m.GetNodesWhole(), FleetSize: int(m.GetFleet()), FleetDemand: decodeOffered(m.GetTotals()), Blocked: m.GetBlocked(),
 		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
+		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastAsOf: mirror.Version{Era: m.GetPastEra(), Revision: m.GetPastAsOf()},
 	}
 	r.Nodes, r.Hubs = decodeNodes(m.GetNodes()), decodeNodes(m.GetHubs())
 	for _, id := range m.GetGone() {
 		r.Removed = append(r.Removed, fleet.VMID(id))
 	}
-	if len(m.GetUpdate()) == 0 {
-		return r, nil
+	var err error
+	if r.Past, err = decodePast(m.GetPast(), r.PastAsOf); err != nil || len(m.GetUpdate()) == 0 {
+		return r, err
 	}
-	u, err := decodeUpdate(m.GetUpdate())
-	r.Update = u
+	r.Update, err = decodeUpdate(m.GetUpdate())
 	return r, err
 }
 
@@ -270,26 +279,6 @@
 // decodeAge returns an age in microseconds as a duration, zero if it is not set.
 func decodeAge(us int64) time.Duration { return time.Duration(max(us, 0)) * time.Microsecond }
 
-func encodeUpdate(u *mirror.Update) *peer.MeshUpdate {
-	m := &peer.MeshUpdate{Complete: u.Full, AsOf: u.Revision}
-	for _, e := range u.Entries {
-		m.Entries = append(m.Entries, &peer.MeshEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
-	}
-	return m
-}
-
-func decodeUpdate(encoded []byte) (*mirror.Update, error) {
-	var m peer.MeshUpdate
-	if err := inflate(encoded, &m); err != nil {
-		return nil, err
-	}
-	u := &mirror.Update{Full: m.GetComplete(), Revision: m.GetAsOf()}
-	for _, e := range m.GetEntries() {
-		u.Entries = append(u.Entries, mirror.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
-	}
-	return u, nil
-}
-
 // inflate decodes a message that a replyEncoder compressed. It reads at most
 // maxInflatedBytes of it.
 func inflate(encoded []byte, into proto.Message) error {
--- a/metrics/expose.go
+++ b/metrics/expose.go
@@ -37,6 +37,10 @@
 	"workspace_answered_ratio":       "Queries answered in the last minute, of those not refused for a reason on the caller's side.",
 	"workspace_offered_per_second":   "Queries that a workspace sent to this VM in the last minute, refused ones included.",
 	"worst_workspace_answered_ratio": "Smallest workspace_answered_ratio; 1 without queries.",
+	"store_era":                      "Era of the store that this VM has a copy of; zero if the store states none.",
+	"store_rewinds_total":            "Times that the copy of the store was replaced by one of another era.",
+	"store_reads_ignored_total":      "Reads of the store that were ignored because of the era that they state.",
+	"store_kept_entries":             "Entries that are kept although the store, back from an older copy, lacks them or has them otherwise, by reason.",
 	"extra_load_ratio":               "Attempts beyond one a sub-request in the last minute, as a fraction of the sub-requests.",
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -35,13 +35,14 @@
 // methods. Any task may call Write at any time, since every series is safe for
 // concurrent use.
 type Registry struct {
-	series     gometrics.Registry
-	names      map[seriesKey]string
-	start      time.Time
-	workspaces windowsByName
-	services   windowsByName
-	answered   map[string]float64 // by workspace, as of the last Refresh
-	overloads  gometrics.Counter
+	series      gometrics.Registry
+	names       map[seriesKey]string
+	start       time.Time
+	workspaces  windowsByName
+	services    windowsByName
+	answered    map[string]float64 // by workspace, as of the last Refresh
+	overloads   gometrics.Counter
+	keptReasons map[string]bool // reasons that store_kept_entries has series of
 }
 
 // New returns a Registry whose sliding windows start at now.
@@ -49,6 +50,7 @@
 	r := &Registry{
 		series: gometrics.NewRegistry(), names: make(map[seriesKey]string), start: now,
 		workspaces: make(windowsByName), services: make(windowsByName), answered: make(map[string]float64),
+		keptReasons: make(map[string]bool),
 	}
 	r.overloads = r.counter("refusals_total", Labels{Code: string(outcome.CodeOverloaded)})
 	r.Refresh(now)
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -95,6 +95,7 @@
 	r.Record(epoch, partial)
 	r.Record(epoch, refusedQuery("a", outcome.CodeNoHome))
 	r.Refresh(epoch)
+	r.RecordStore(Store{Era: 2, Rewinds: 1, Kept: map[string]int{"zone_out": 3}})
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(strings.NewReader(exposition(t, r)))
 	assert.NilError(t, err)
@@ -103,7 +104,7 @@
 		assert.Assert(t, f.GetHelp() != "", name)
 		assert.Assert(t, f.GetType() != dto.MetricType_UNTYPED, name)
 		suffixed := false
-		for _, suffix := range []string{"_total", "_seconds", "_ratio", "_per_second"} {
+		for _, suffix := range []string{"_total", "_seconds", "_ratio", "_per_second", "_entries", "_era"} {
 			suffixed = suffixed || strings.HasSuffix(name, suffix)
 		}
 		assert.Assert(t, suffixed, name)
--- /dev/null
+++ b/metrics/store.go
@@ -0,0 +1,27 @@
+package metrics
+
+// Store describes a VM's copy of the platform's store.
+type Store struct {
+	Era     uint64
+	Rewinds int            // times that the era changed since the start of the VM
+	Ignored int            // reads that were ignored because of their era
+	Kept    map[string]int // entries that are kept past a rewind, by reason
+}
+
+// RecordStore replaces the series that describe the copy of the store.
+func (r *Registry) RecordStore(s Store) {
+	r.gauge("store_era", Labels{}).Update(float64(s.Era))
+	for name, total := range map[string]int{"store_rewinds_total": s.Rewinds, "store_reads_ignored_total": s.Ignored} {
+		c := r.counter(name, Labels{})
+		c.Inc(int64(total) - c.Count())
+	}
+	for reason := range r.keptReasons {
+		if s.Kept[reason] == 0 {
+			r.gauge("store_kept_entries", Labels{Code: reason}).Update(0)
+		}
+	}
+	for reason, n := range s.Kept {
+		r.keptReasons[reason] = true
+		r.gauge("store_kept_entries", Labels{Code: reason}).Update(float64(n))
+	}
+}
