Exchange what outlives a rewind by what each VM has known

Cause: entries of earlier eras were merged by the version of one copy, so that a VM that had seen a later era and little of the one before replaced what others knew of it. The model test found three more faults: a full update of an older revision brought back entries that had been deleted since (also without a rewind); a VM that jumped to a listing of the same era gave its followers no deletions of entries that it had never held; and a VM whose copy lagged dropped what a newer copy of the same era had decided.

Entries of before the copy's version are skipped, and after a listing older copies get all entries.

--- a/core/mesh/copy.go
+++ b/core/mesh/copy.go
@@ -48,7 +48,7 @@
 // addStore adds to the reply to a heartbeat what its sender lacks of the store.
 func (m *Machine) addStore(now time.Time, reply *HeartbeatReply, r *HeartbeatRequest) {
 	known, theirs := m.storeCopy.Version(), mirror.Version{Era: r.StoreEra, Revision: r.StoreRevision}
-	reply.StatesEra, reply.StoreEra, reply.PastAsOf = true, known.Era, m.storeCopy.PastAsOf()
+	reply.StatesEra, reply.StoreEra, reply.PastKnown = true, known.Era, m.storeCopy.Known()
 	if !m.storeCopy.ConfirmedAt().IsZero() {
 		reply.CopyAge = now.Sub(m.storeCopy.ConfirmedAt())
 	}
@@ -59,7 +59,7 @@
 		}
 	}
 	reply.Update = m.storeCopy.Since(theirs)
-	if r.StatesEra && r.StoreEra <= known.Era && r.PastAsOf.Before(reply.PastAsOf) {
+	if r.StatesEra && r.StoreEra <= known.Era && !r.PastKnown.CoversAll(reply.PastKnown) {
 		reply.Past = m.storeCopy.Past()
 	}
 }
@@ -85,7 +85,7 @@
 	if u != nil {
 		m.applyReplyUpdate(now, u, reply.Past)
 	} else {
-		m.mergePast(now, era, reply.Past)
+		m.mergePast(now, mirror.Version{Era: era}, reply.Past) // of a copy that is no newer
 	}
 	if reply.CopyAge < 0 || era != m.storeCopy.Version().Era {
 		return
@@ -97,10 +97,11 @@
 	m.confirmCopy(asOf, confirmedAt)
 }
 
-// mergePast takes over what another VM, whose copy is of the given era, keeps of
-// earlier ones.
-func (m *Machine) mergePast(now time.Time, era uint64, past *mirror.Past) {
-	if known := m.storeCopy.Version(); past != nil && era == known.Era && m.hasCopy() {
+// mergePast takes over what another VM, whose copy is of the given version, keeps of
+// earlier eras. What it has dropped since a newer copy decided it is not taken over.
+func (m *Machine) mergePast(now time.Time, theirs mirror.Version, past *mirror.Past) {
+	known := m.storeCopy.Version()
+	if past != nil && theirs.Era == known.Era && !known.Before(theirs) && m.hasCopy() {
 		m.publishChanges(now, known, m.storeCopy.MergePast(past))
 		m.viewDirty = true
 	}
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/anvilfork/anvilfork/core/mirror"
 )
 
 // heartbeatDelay returns the time from one heartbeat to the next to the same
@@ -128,11 +130,11 @@
 
 // heartbeatRequest returns the heartbeat to send to an address.
 func (m *Machine) heartbeatRequest(addr string) *HeartbeatRequest {
-	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), StoreEra: m.storeCopy.Version().Era, StatesEra: true, PastAsOf: m.storeCopy.PastAsOf(), Demand: m.localDemand, Crashes: m.localCrashes, TimeoutsSum: m.timeouts.sum}
+	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), StoreEra: m.storeCopy.Version().Era, StatesEra: true, PastKnown: m.storeCopy.Known(), Demand: m.localDemand, Crashes: m.localCrashes, TimeoutsSum: m.timeouts.sum}
 	if c := m.heartbeats[addr]; c != nil && c.answered && c.hubSum != m.timeouts.sum {
 		r.Timeouts = m.timeouts.list()
 	}
-	if c := m.heartbeats[addr]; c != nil && c.answered && c.hubEra == r.StoreEra && c.hubPastAsOf.Before(r.PastAsOf) {
+	if c := m.heartbeats[addr]; c != nil && c.answered && c.hubEra == r.StoreEra && !c.hubKnown.CoversAll(r.PastKnown) {
 		r.Past = m.storeCopy.Past()
 	}
 	for _, peer := range m.members {
@@ -160,7 +162,7 @@
 		m.mergeTimeouts(ev.Request.Timeouts)
 		m.peerDemands[peer.node.ID] = peerDemand{demand: ev.Request.Demand, receivedAt: now, ttl: shareTTL(interval)}
 	}
-	m.mergePast(now, ev.Request.StoreEra, ev.Request.Past)
+	m.mergePast(now, mirror.Version{Era: ev.Request.StoreEra, Revision: ev.Request.StoreRevision}, ev.Request.Past)
 	m.emit(AnswerHeartbeat{Ticket: ev.Ticket, Reply: m.heartbeatReply(now, ev.Request)})
 }
 
@@ -237,7 +239,7 @@
 		demand.own, demand.ttl = m.limitSurge(c.sentDemand, c.prevDemand), shareTTL(c.interval)
 		m.answeredInterval = c.interval
 		c.inFlight, c.answered, c.hubSum = false, true, ev.Reply.TimeoutsSum
-		c.hubEra, c.hubPastAsOf = ev.Reply.StoreEra, ev.Reply.PastAsOf
+		c.hubEra, c.hubKnown = ev.Reply.StoreEra, ev.Reply.PastKnown
 		c.nextAt = ev.Sent.Add(m.heartbeatDelay(c, ev.Reply.Update != nil))
 	}
 	reply := ev.Reply
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -107,7 +107,7 @@
 	prevDemand  []WorkspaceDemand // demand in the heartbeat before it
 	hubSum      uint64            // checksum of the timeouts in the last reply
 	hubEra      uint64            // era of the copy in the last reply
-	hubPastAsOf mirror.Version    // PastAsOf of the last reply
+	hubKnown    mirror.Known      // PastKnown of the last reply
 	withoutCopy int               // consecutive heartbeats that brought no copy, while this VM has none
 }
 
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -61,14 +61,14 @@
 // the sender already has.
 type HeartbeatRequest struct {
 	From          Node
-	Interval      time.Duration  // until the sender's next heartbeat; zero from VMs of earlier versions
-	StoreRevision uint64         // revision of the sender's copy of the store
-	StoreEra      uint64         // era of that copy
-	StatesEra     bool           // false from VMs of earlier versions, which know no eras
-	PastAsOf      mirror.Version // of the copy that the sender keeps past entries from
-	Past          *mirror.Past   // those entries, if the receiver is known to keep older ones
-	NodesSeq      uint64         // NodesSeq of the last reply from this hub
-	NodesEpoch    int64          // start of the hub's process that NodesSeq belongs to, in Unix milliseconds
+	Interval      time.Duration // until the sender's next heartbeat; zero from VMs of earlier versions
+	StoreRevision uint64        // revision of the sender's copy of the store
+	StoreEra      uint64        // era of that copy
+	StatesEra     bool          // false from VMs of earlier versions, which know no eras
+	PastKnown     mirror.Known  // of earlier eras of the store
+	Past          *mirror.Past  // entries of earlier eras, if the receiver is known to know less of them
+	NodesSeq      uint64        // NodesSeq of the last reply from this hub
+	NodesEpoch    int64         // start of the hub's process that NodesSeq belongs to, in Unix milliseconds
 	Demand        []WorkspaceDemand
 	Crashes       []Crash
 	TimeoutsSum   uint64         // checksum of the timeouts that the sender knows; zero for none
@@ -84,8 +84,8 @@
 	StoreEra    uint64         // era of the hub's copy
 	StatesEra   bool           // false from VMs of earlier versions, which know no eras
 	Update      *mirror.Update // nil when the sender's copy is as new as the hub's
-	PastAsOf    mirror.Version // of the copy that the hub keeps past entries from
-	Past        *mirror.Past   // those entries, if the sender of the heartbeat keeps older ones
+	PastKnown   mirror.Known   // of earlier eras of the store
+	Past        *mirror.Past   // entries of earlier eras, if the sender of the heartbeat knows less of them
 	NodesSeq    uint64         // number of the last change to the hub's members
 	FleetSize   int            // number of VMs that the hub knows, if Nodes holds only those that are to be hubs
 	NodesFull   bool           // Nodes holds all members, not only those that changed
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -42,7 +42,7 @@
 	eraStart   uint64
 	rewinds    int
 	past       map[string]pastEntry // what still counts of earlier eras
-	pastAsOf   Version              // of the copy that past comes from
+	known      Known                // what of earlier eras past takes into account
 
 	confirmedAt time.Time // latest time at which the copy was known to be current
 	lastUpdate  *Update   // cached result of Since, which many VMs often request for the same version
@@ -77,9 +77,6 @@
 	switch {
 	case m.version.IsZero():
 		m.version.Era, m.eraStart = u.Era, cmp.Or(u.EraStart, u.Revision)
-		if u.Full {
-			m.dropped = u.Version() // deletions before a listing are not known
-		}
 	case u.Era > m.version.Era && u.Full:
 		return m.Rewind(u)
 	case u.Era != m.version.Era:
@@ -91,6 +88,7 @@
 	var changed []Entry
 	if u.Full && u.Revision >= m.version.Revision {
 		changed = m.deleteMissing(u)
+		m.dropped = u.Version() // what was written and deleted before is not known
 	}
 	m.lastUpdate = nil
 	for _, e := range u.Entries {
@@ -103,10 +101,14 @@
 	return m.settlePast(changed, u.EraStart)
 }
 
-// put merges one entry. It reports whether an entry was set or removed; a
+// put merges one entry, unless it is of before the copy's version: the copy has it, or
+// it was deleted since. It reports whether an entry was set or removed; a
 // tombstone for a key that the copy lacks does not count, unless a past entry waits
 // for it.
 func (m *Mirror) put(e Entry) bool {
+	if !m.version.Before(e.Version()) {
+		return false
+	}
 	old, existed := m.entries[e.Key]
 	if existed && !old.Version().Before(e.Version()) {
 		return false
--- a/core/mirror/rewind.go
+++ b/core/mirror/rewind.go
@@ -17,10 +17,9 @@
 // in its present era, so that it is no remainder of the older copy.
 type Outlives func(past, present Entry, written bool) Reason
 
-// Past is what a copy of an earlier era held and what still counts. That of the newest
-// copy is the best one.
+// Past is what copies of earlier eras held and what still counts.
 type Past struct {
-	AsOf    Version // version of that copy; zero when there is none
+	Known   Known
 	Entries []Entry
 }
 
@@ -48,7 +47,7 @@
 
 // Past returns what this copy keeps of earlier eras, sorted by key.
 func (m *Mirror) Past() *Past {
-	p := &Past{AsOf: m.pastAsOf}
+	p := &Past{Known: m.known}
 	for _, e := range m.past {
 		p.Entries = append(p.Entries, e.Entry)
 	}
@@ -56,22 +55,17 @@
 	return p
 }
 
-// PastAsOf returns the version of the copy that Past comes from.
-func (m *Mirror) PastAsOf() Version { return m.pastAsOf }
+// Known returns what of earlier eras Past takes into account.
+func (m *Mirror) Known() Known { return m.known }
 
 // Rewind replaces the copy by a full update of another era, and returns the entries
 // that changed. What the copy held before and the update lacks or has otherwise
 // becomes past, as far as it outlives the rewind.
 func (m *Mirror) Rewind(u *Update) []Entry {
 	before, former := m.effective(), m.version
-	for _, t := range m.tombstones {
-		if _, exists := before[t.Key]; !exists {
-			before[t.Key] = t
-		}
-	}
 	m.entries, m.past = make(map[string]Entry, len(u.Entries)), make(map[string]pastEntry)
 	m.tombstones, m.lastUpdate = nil, nil
-	m.version, m.dropped, m.pastAsOf = u.Version(), u.Version(), former
+	m.version, m.dropped, m.known = u.Version(), u.Version(), m.known.With(former)
 	m.eraStart = cmp.Or(u.EraStart, u.Revision)
 	m.rewinds++
 	for _, e := range u.Entries {
@@ -92,17 +86,28 @@
 	return m.changesFrom(before)
 }
 
-// MergePast takes over what another copy of the same era keeps of earlier ones, if
-// that is from a newer copy than what this one keeps, and returns the entries that
-// changed.
+// MergePast takes over what another copy of the same era keeps of earlier ones, and
+// returns the entries that changed. Of entries that one of them keeps, those that the
+// other one has known and dropped are dropped.
 func (m *Mirror) MergePast(p *Past) []Entry {
-	if !m.pastAsOf.Before(p.AsOf) {
+	if m.known.CoversAll(p.Known) {
 		return nil
 	}
 	before := m.effective()
-	m.pastAsOf, m.past = p.AsOf, make(map[string]pastEntry, len(p.Entries))
+	theirs := make(map[string]bool, len(p.Entries))
 	for _, e := range p.Entries {
-		m.keepPast(e)
+		theirs[e.Key] = true
+		if mine, kept := m.past[e.Key]; kept && mine.Version().Before(e.Version()) || !kept && !m.known.Covers(e.Version()) {
+			m.keepPast(e)
+		}
+	}
+	for key, mine := range m.past {
+		if !theirs[key] && p.Known.Covers(mine.Version()) {
+			delete(m.past, key)
+		}
+	}
+	for _, v := range p.Known {
+		m.known = m.known.With(v)
 	}
 	return m.changesFrom(before)
 }
@@ -115,6 +120,9 @@
 		delete(m.past, e.Key)
 		return false
 	}
+	if m.past == nil {
+		m.past = make(map[string]pastEntry)
+	}
 	m.past[e.Key] = pastEntry{Entry: e, reason: reason}
 	return true
 }
--- a/core/mirror/rewind_test.go
+++ b/core/mirror/rewind_test.go
@@ -110,4 +110,20 @@
 	changed := lagging.MergePast(current.Past())
 	assert.Assert(t, len(changed) == 1 && changed[0].Deleted)
 	assert.DeepEqual(t, lagging.visible(), current.visible())
+
+	// Another copy knows less of the era 1 and more of the era 2.
+	rev["b=1"] = 12
+	other := New(keepAll)
+	other.Apply(&Update{Full: true, Era: 1, Revision: 20, Entries: entriesOf(rev, "a=1")})
+	other.Apply(&Update{Full: true, Era: 2, Revision: 11})
+	other.Apply(&Update{Era: 2, Revision: 12, Entries: entriesOf(rev, "b=1")})
+	for _, m := range []*Mirror{&other, &current} {
+		m.Apply(&Update{Full: true, Era: 3, Revision: 5})
+	}
+	assert.DeepEqual(t, other.visible(), map[string]string{"a": "1", "b": "1"})
+	fromOther := other.Past()
+	other.MergePast(current.Past())
+	current.MergePast(fromOther)
+	assert.DeepEqual(t, current.visible(), map[string]string{"b": "1"})
+	assert.DeepEqual(t, other.visible(), current.visible())
 }
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -81,7 +81,7 @@
 	ticket := heartbeatTicket{readsPacked: r.GetReadsPacked(), reply: answer}
 	request := decodeRequest(r)
 	var err error
-	if request.Past, err = decodePast(r.GetPast(), request.PastAsOf); err != nil {
+	if request.Past, err = decodePast(r.GetPast(), request.PastKnown); err != nil {
 		return nil, twirp.InvalidArgumentError("past", err.Error())
 	}
 	select {
--- a/gateway/storewire.go
+++ b/gateway/storewire.go
@@ -58,6 +58,23 @@
 	return u, nil
 }
 
+func encodeKnown(k mirror.Known) []*peer.MeshVersion {
+	var out []*peer.MeshVersion
+	for _, v := range k {
+		out = append(out, &peer.MeshVersion{Era: v.Era, Revision: v.Revision})
+	}
+	return out
+}
+
+// decodeKnown decodes versions of earlier eras, in whichever order they are.
+func decodeKnown(all []*peer.MeshVersion) mirror.Known {
+	var k mirror.Known
+	for _, v := range all {
+		k = k.With(mirror.Version{Era: v.GetEra(), Revision: v.GetRevision()})
+	}
+	return k
+}
+
 func encodePast(p *mirror.Past) *peer.MeshPast {
 	m := &peer.MeshPast{}
 	for _, e := range p.Entries {
@@ -66,8 +83,9 @@
 	return m
 }
 
-// decodePast decodes the past entries from a copy of a version; nil if there are none.
-func decodePast(encoded []byte, asOf mirror.Version) (*mirror.Past, error) {
+// decodePast decodes the past entries of a VM that knows this much of earlier eras; nil
+// if it sent none.
+func decodePast(encoded []byte, known mirror.Known) (*mirror.Past, error) {
 	if len(encoded) == 0 {
 		return nil, nil
 	}
@@ -75,7 +93,7 @@
 	if err := inflate(encoded, &m); err != nil {
 		return nil, err
 	}
-	p := &mirror.Past{AsOf: asOf}
+	p := &mirror.Past{Known: known}
 	for _, e := range m.GetEntries() {
 		p.Entries = append(p.Entries, mirror.Entry{Key: e.GetKey(), Value: e.GetValue(), Era: e.GetEra(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
 	}
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -89,7 +89,7 @@
 		From: encodeNode(r.From), EveryMs: uint32(r.Interval.Milliseconds()), AsOf: r.StoreRevision,
 		NodesSeq: r.NodesSeq, NodesOf: r.NodesEpoch, ReadsPacked: true, Offered: encodeOffered(r.Demand),
 		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
-		Era: encodeEra(r.StatesEra, r.StoreEra), PastAsOf: r.PastAsOf.Revision, PastEra: r.PastAsOf.Era,
+		Era: encodeEra(r.StatesEra, r.StoreEra), PastKnown: encodeKnown(r.PastKnown),
 	}
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, &peer.MeshCrash{Fingerprint: c.Fingerprint, Count: c.Count})
@@ -101,7 +101,7 @@
 	r := &mesh.HeartbeatRequest{
 		From: decodeNode(m.GetFrom()), Interval: time.Duration(m.GetEveryMs()) * time.Millisecond, StoreRevision: m.GetAsOf(), NodesSeq: m.GetNodesSeq(), NodesEpoch: m.GetNodesOf(), Demand: decodeOffered(m.GetOffered()),
 		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
-		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastAsOf: mirror.Version{Era: m.GetPastEra(), Revision: m.GetPastAsOf()},
+		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastKnown: decodeKnown(m.GetPastKnown()),
 	}
 	for _, c := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, mesh.Crash{Fingerprint: c.GetFingerprint(), Count: c.GetCount()})
@@ -138,7 +138,7 @@
 		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), RegainedAgeUs: encodeAge(r.RegainedAge), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull, Fleet: uint32(r.FleetSize),
 		Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand), Blocked: r.Blocked,
 		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
-		Era: encodeEra(r.StatesEra, r.StoreEra), PastAsOf: r.PastAsOf.Revision, PastEra: r.PastAsOf.Era,
+		Era: encodeEra(r.StatesEra, r.StoreEra), PastKnown: encodeKnown(r.PastKnown),
 	}
 	if r.CopyAge < 0 {
 		m.AgeUs = -1
@@ -254,14 +254,14 @@
 		RegainedAge: decodeAge(m.GetRegainedAgeUs()), NodesSeq: m.GetNodesSeq(),
 		NodesFull: m.GetNodesWhole(), FleetSize: int(m.GetFleet()), FleetDemand: decodeOffered(m.GetTotals()), Blocked: m.GetBlocked(),
 		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
-		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastAsOf: mirror.Version{Era: m.GetPastEra(), Revision: m.GetPastAsOf()},
+		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastKnown: decodeKnown(m.GetPastKnown()),
 	}
 	r.Nodes, r.Hubs = decodeNodes(m.GetNodes()), decodeNodes(m.GetHubs())
 	for _, id := range m.GetGone() {
 		r.Removed = append(r.Removed, fleet.VMID(id))
 	}
 	var err error
-	if r.Past, err = decodePast(m.GetPast(), r.PastAsOf); err != nil || len(m.GetUpdate()) == 0 {
+	if r.Past, err = decodePast(m.GetPast(), r.PastKnown); err != nil || len(m.GetUpdate()) == 0 {
 		return r, err
 	}
 	r.Update, err = decodeUpdate(m.GetUpdate())
