Ignore a later era from a VM whose copy is older

Change: an update of a later era is taken from another VM only if that VM's copy was confirmed after this one's. A true rewind is: its first reader confirmed its copy after the store returned.

--- a/core/mesh/copy.go
+++ b/core/mesh/copy.go
@@ -79,8 +79,8 @@
 			aligned.Era, u = era, &aligned
 		}
 	}
-	if !m.trustsEra(era) {
-		return
+	if !m.trustsEra(era) || m.hasCopy() && era > known.Era && !confirmedAt.After(m.storeCopy.ConfirmedAt()) {
+		return // a later era is not older, unless the store states wrong ones
 	}
 	if u != nil {
 		m.applyReplyUpdate(now, u, reply.Past)
--- a/core/mesh/era_test.go
+++ b/core/mesh/era_test.go
@@ -74,6 +74,7 @@
 		"reply of an earlier era":    {reply(4, nil), at(5, 10), false, false},
 		"late update":                {reply(4, update(4, 90, true)), at(5, 10), false, false},
 		"reply of the next era":      {reply(6, update(6, 7, true)), at(6, 7), true, false},
+		"old reply of another era":   {HeartbeatAnswered{Peer: "hub", Sent: epoch, Reply: reply(6, update(6, 7, true)).Reply}, at(5, 10), false, false},
 		"absurd reply":               {reply(absurd, update(absurd, 99, true)), at(5, 10), false, false},
 		"late delta":                 {Delta{After: at(4, 80), Update: update(4, 90, false)}, at(5, 10), false, false},
 		"delta of the era":           {Delta{After: at(5, 9), Update: update(5, 11, false)}, at(5, 11), false, false},
