Stop the use of targets that nobody writes after a rewind

Cause: a target that the older copy of the store lists and that nobody renews was used until the store expired it. In a fleet with older builds, a VM that knew of a rewind took entries of the earlier era from a VM that did not: once the store's revisions have passed that one's, its copy is confirmed again with entries of both eras. And each rolling restart counted as a rewind on VMs that got their first copy from an older build.

Change: 6 s after a VM entered an era, and once its copy is confirmed as of then, entries of targets that were not written in this era are hidden until they are, if at least as many others were written; so nothing changes where targets do not renew their entries. After a rewind nothing is taken from VMs that state no era. A listing that tells the era of a copy without one and contradicts it in nothing is no rewind.

Result: TestFaultStoreRewound (target "silent") and TestFaultRewindWithOlderBuilds (target "dies", no rewind counted before the drill) fail without these changes.

--- a/core/mesh/copy.go
+++ b/core/mesh/copy.go
@@ -36,12 +36,13 @@
 }
 
 // confirmCopy records that a copy of version asOf was complete at a time.
-func (m *Machine) confirmCopy(asOf mirror.Version, at time.Time) {
+func (m *Machine) confirmCopy(now time.Time, asOf mirror.Version, at time.Time) {
 	before := m.storeCopy.ConfirmedAt()
 	m.storeCopy.Confirm(asOf, at)
 	if m.storeCopy.ConfirmedAt().After(before) {
 		m.viewDirty = true
 		m.forgetOldFailures()
+		m.dropUnwritten(now)
 	}
 }
 
@@ -70,8 +71,10 @@
 	known, era, confirmedAt := m.storeCopy.Version(), reply.StoreEra, sent.Add(-reply.CopyAge)
 	u := reply.Update
 	if !reply.StatesEra && known.Era > 0 { // from an older build
-		if reply.CopyAge < 0 || !confirmedAt.After(m.eras.enteredAt) {
-			return // its copy may be of an earlier era
+		// Its copy may be of an earlier era. Once the store's revisions have passed that
+		// copy's, it is even confirmed again, with entries of both eras.
+		if reply.CopyAge < 0 || len(m.storeCopy.Known()) > 0 || !confirmedAt.After(m.eras.enteredAt) {
+			return
 		}
 		era = known.Era
 		if u != nil {
@@ -94,7 +97,7 @@
 	if u != nil {
 		asOf = u.Version()
 	}
-	m.confirmCopy(asOf, confirmedAt)
+	m.confirmCopy(now, asOf, confirmedAt)
 }
 
 // mergePast takes over what another VM, whose copy is of the given version, keeps of
--- a/core/mesh/era.go
+++ b/core/mesh/era.go
@@ -24,6 +24,28 @@
 	lowerEraTime = 10 * time.Second
 )
 
+// unwrittenGrace is the time after the start of an era within which writers renew
+// their entries. Targets write every 1.2 s.
+const unwrittenGrace = 6 * time.Second
+
+// StoreRewound reports that the store returned from an older copy, and that this VM
+// reads or was told its new era.
+type StoreRewound struct {
+	From, To mirror.Version
+	Kept     map[mirror.Reason]int // entries that are kept although the store lacks them or has them otherwise
+}
+
+// UnwrittenDropped reports entries that are used no longer, since nobody has written
+// them since the store returned from an older copy.
+type UnwrittenDropped struct{ Entries []mirror.Entry }
+
+// EraIgnored reports that an answer of the store was ignored because of its era.
+type EraIgnored struct{ Known, Era uint64 }
+
+func (StoreRewound) action()     {}
+func (UnwrittenDropped) action() {}
+func (EraIgnored) action()       {}
+
 // eraEvidence is what a VM knows about eras that differ from that of its copy.
 type eraEvidence struct {
 	candidate uint64    // that the last reads stated, and that is not believed yet
@@ -31,6 +53,7 @@
 	since     time.Time // of the first of them
 	discarded uint64    // messages of this era and later ones are ignored; zero for none
 	enteredAt time.Time // when the copy entered its era
+	rewinds   int       // of the copy that were reported
 	ignored   int       // reads that were ignored because of their era
 }
 
@@ -70,6 +93,20 @@
 	return m.readFrom.Era == known
 }
 
+// dropUnwritten stops the use of entries that nobody has renewed since the store
+// returned from an older copy, once the copy is confirmed as of a time by which the
+// writers that live have.
+func (m *Machine) dropUnwritten(now time.Time) {
+	if m.isRenewed == nil || !m.storeCopy.ConfirmedAt().After(m.eras.enteredAt.Add(unwrittenGrace)) {
+		return
+	}
+	if dropped := m.storeCopy.DropUnwritten(m.isRenewed); len(dropped) > 0 {
+		m.viewDirty = true
+		m.publishChanges(now, m.storeCopy.Version(), dropped)
+		m.emit(UnwrittenDropped{Entries: dropped})
+	}
+}
+
 // trustsEra reports whether to use what another VM tells of an era. One that is far
 // above that of the copy has to be read from the store.
 func (m *Machine) trustsEra(era uint64) bool {
@@ -81,7 +118,7 @@
 // starts the time for which lost entries may be back.
 func (m *Machine) applyRead(now time.Time, u *mirror.Update) {
 	before := m.storeCopy.Version()
-	if u.Era != before.Era && m.hasCopy() {
+	if u.Era != before.Era && m.hasCopy() && !m.storeCopy.Continues(u) {
 		m.outage.regainedAt = now
 	}
 	if u.Era < before.Era {
@@ -101,7 +138,8 @@
 		m.eras.discarded = 0
 	}
 	m.viewDirty = true
-	if !before.IsZero() {
+	if rewinds := m.storeCopy.Rewinds(); rewinds > m.eras.rewinds {
+		m.eras.rewinds = rewinds
 		m.emit(StoreRewound{From: before, To: after, Kept: m.storeCopy.Kept()})
 	}
 }
--- a/core/mesh/era_test.go
+++ b/core/mesh/era_test.go
@@ -195,7 +195,7 @@
 	}
 	s.eras.era, s.eras.ended = 1, map[string]bool{"target/ends of 1": true}
 	s.put("config", "1")
-	for _, name := range []string{"stays", "drains", "ends", "restarts"} {
+	for _, name := range []string{"stays", "drains", "ends", "restarts", "silent"} {
 		target(name, "1", "ready")
 	}
 	s.run(3 * time.Second)
@@ -220,10 +220,12 @@
 		d, missing := v.deleted["target/lost"]
 		assert.Assert(s.t, !missing || d.lapseEnd.After(d.at) && d.lapseEnd.Sub(d.at) <= lapseGrace || s.eras.old[id], "%s: a lost target counts as removed", id)
 	}
-	target("stays", "1", "ready")
-	target("lost", "1", "ready")
-	target("restarts", "2", "ready")
-	s.run(6 * time.Second)
+	for range 10 {
+		target("stays", "1", "ready")
+		target("lost", "1", "ready")
+		target("restarts", "2", "ready")
+		s.run(renewal)
+	}
 }
 
 // assertDrilled checks what the VMs that know eras hold after a drill.
@@ -305,6 +307,9 @@
 			s.write("other", 1)
 			s.run(3 * time.Second)
 			s.assertPropagated("other")
+			for id, v := range s.vms {
+				assert.Equal(t, v.view.Store.Rewinds, 0, "%s", id)
+			}
 			s.drill(1200*time.Millisecond, func(bool) {})
 			s.assertDrilled()
 		})
--- a/core/mesh/erasim_test.go
+++ b/core/mesh/erasim_test.go
@@ -142,6 +142,8 @@
 	}
 }
 
+func isTargetEntry(e mirror.Entry) bool { return strings.HasPrefix(e.Key, "target/") }
+
 // decodeEntry returns the meaning of an entry: config holds a version, zone/NAME
 // anything, and target/NAME the process, the sequence and the state.
 func decodeEntry(e mirror.Entry) catalog.Change {
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -66,6 +66,8 @@
 	// Outlives decides which entries are kept when the store returns from an older
 	// copy; nil for none.
 	Outlives mirror.Outlives
+	// IsRenewed reports whether the writer of an entry renews it all the time.
+	IsRenewed func(mirror.Entry) bool
 }
 
 // member is what this VM knows of another VM.
@@ -141,6 +143,7 @@
 	forwarded         mirror.Version // version of the store up to which changes were forwarded
 	readFrom          mirror.Version // version after which the read in flight reads; zero for a listing
 	eras              eraEvidence
+	isRenewed         func(mirror.Entry) bool
 	changeSeq         uint64 // number of the last change to members
 	removals          []removal
 	forgottenSeq      uint64        // change number up to which removals were dropped
@@ -160,7 +163,7 @@
 		self: s.Self, seeds: s.Seeds, started: now, lastStep: now, nextReadAt: now,
 		members: make(map[fleet.VMID]*member), heartbeats: make(map[string]*heartbeatState),
 		peerDemands: make(map[fleet.VMID]peerDemand), hubDemands: make(map[fleet.VMID]hubDemand), unresponsiveSince: make(map[fleet.VMID]time.Time),
-		storeCopy: mirror.New(s.Outlives), viewDirty: true,
+		storeCopy: mirror.New(s.Outlives), isRenewed: s.IsRenewed, viewDirty: true,
 	}
 	m.heartbeatAddrs = m.chooseHeartbeatAddrs()
 	return m
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -104,7 +104,7 @@
 	if power := s.powers[id]; power > 0 {
 		node.Power = power
 	}
-	s.vms[id] = &vm{machine: New(s.now, Settings{Self: node, Seeds: s.seeds, Outlives: s.eras.outlives(id)}), node: node, accepted: newAcceptedState(), entries: make(map[string]uint64), deleted: make(map[string]deletion), running: true}
+	s.vms[id] = &vm{machine: New(s.now, Settings{Self: node, Seeds: s.seeds, Outlives: s.eras.outlives(id), IsRenewed: isTargetEntry}), node: node, accepted: newAcceptedState(), entries: make(map[string]uint64), deleted: make(map[string]deletion), running: true}
 }
 
 func (s *simulation) write(key string, _ int) {
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -223,16 +223,6 @@
 	CopyAge time.Duration // since the copy was confirmed last
 }
 
-// StoreRewound reports that the store returned from an older copy, and that this VM
-// reads or was told its new era.
-type StoreRewound struct {
-	From, To mirror.Version
-	Kept     map[mirror.Reason]int // entries that are kept although the store lacks them or has them otherwise
-}
-
-// EraIgnored reports that an answer of the store was ignored because of its era.
-type EraIgnored struct{ Known, Era uint64 }
-
 // PeerLost reports that a VM is no longer a member: it became unresponsive, or its
 // process is gone.
 type PeerLost struct {
@@ -251,8 +241,6 @@
 func (StoreLost) action()       {}
 func (StoreRecovered) action()  {}
 func (OutageEnded) action()     {}
-func (StoreRewound) action()    {}
-func (EraIgnored) action()      {}
 func (PeerLost) action()        {}
 func (PeerFound) action()       {}
 
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -77,6 +77,8 @@
 	switch {
 	case m.version.IsZero():
 		m.version.Era, m.eraStart = u.Era, cmp.Or(u.EraStart, u.Revision)
+	case m.Continues(u):
+		m.setEra(u.Era, cmp.Or(u.EraStart, u.Revision))
 	case u.Era > m.version.Era && u.Full:
 		return m.Rewind(u)
 	case u.Era != m.version.Era:
--- a/core/mirror/rewind.go
+++ b/core/mirror/rewind.go
@@ -58,6 +58,33 @@
 // Known returns what of earlier eras Past takes into account.
 func (m *Mirror) Known() Known { return m.known }
 
+// Continues reports whether a full update tells the era of a copy whose era was not
+// known, without a sign of a rewind: it has all entries, and none of an earlier revision.
+func (m *Mirror) Continues(u *Update) bool {
+	if m.version.IsZero() || m.version.Era > 0 || u.Era == 0 || !u.Full || u.Revision < m.version.Revision {
+		return false
+	}
+	same := 0
+	for _, e := range u.Entries {
+		if mine, held := m.entries[e.Key]; held && !e.Deleted && e.Revision >= mine.Revision {
+			same++
+		}
+	}
+	return same == len(m.entries)
+}
+
+// setEra makes the copy, whose era was not known, one of an era.
+func (m *Mirror) setEra(era, start uint64) {
+	m.version.Era, m.dropped.Era, m.eraStart = era, era, start
+	for key, e := range m.entries {
+		e.Era = era
+		m.entries[key] = e
+	}
+	for i := range m.tombstones {
+		m.tombstones[i].Era = era
+	}
+}
+
 // Rewind replaces the copy by a full update of another era, and returns the entries
 // that changed. What the copy held before and the update lacks or has otherwise
 // becomes past, as far as it outlives the rewind.
@@ -112,6 +139,35 @@
 	return m.changesFrom(before)
 }
 
+// DropUnwritten hides entries that are no more than remainders of an older copy of the
+// store, and returns them as deleted: of those that their writers renew, the ones that
+// were not written in the present era, if at least as many others were.
+func (m *Mirror) DropUnwritten(isRenewed func(Entry) bool) []Entry {
+	if len(m.known) == 0 {
+		return nil
+	}
+	written := 0
+	var unwritten []string
+	for key, e := range m.entries {
+		if _, isPast := m.past[key]; isPast || !isRenewed(e) {
+			continue
+		}
+		if e.Revision > m.eraStart {
+			written++
+		} else {
+			unwritten = append(unwritten, key)
+		}
+	}
+	if len(unwritten) == 0 || written < len(unwritten) {
+		return nil
+	}
+	before, former := m.effective(), m.known[len(m.known)-1]
+	for _, key := range unwritten {
+		m.keepPast(Entry{Key: key, Era: former.Era, Revision: former.Revision, Deleted: true})
+	}
+	return m.changesFrom(before)
+}
+
 // keepPast makes an entry of an earlier era a past one if it outlives the rewind, and
 // reports whether it does.
 func (m *Mirror) keepPast(e Entry) bool {
--- a/core/mirror/rewind_test.go
+++ b/core/mirror/rewind_test.go
@@ -94,6 +94,31 @@
 	assert.Equal(t, len(m.Kept()), 0)
 }
 
+// Guards against a rolling restart that counts as a rewind, as VMs of an older build pass
+// on copies without an era, and against a rewind that counts as none.
+func TestEraOfACopyBecomesKnown(t *testing.T) {
+	rev := map[string]uint64{"a=1": 20, "b=1": 25, "a=0": 9}
+	for name, c := range map[string]struct {
+		update  Update
+		rewinds int
+	}{
+		"same entries":    {Update{Era: 4, Revision: 30, Entries: entriesOf(rev, "a=1", "b=1")}, 0},
+		"earlier entry":   {Update{Era: 4, Revision: 40, Entries: entriesOf(rev, "a=0", "b=1")}, 1},
+		"lost entry":      {Update{Era: 4, Revision: 40, Entries: entriesOf(rev, "b=1")}, 1},
+		"lower revision":  {Update{Era: 4, Revision: 29, Entries: entriesOf(rev, "a=1", "b=1")}, 1},
+		"no era, as ever": {Update{Era: 0, Revision: 29, Entries: entriesOf(rev, "a=1", "b=1")}, 0},
+	} {
+		m := New(keepAll)
+		m.Apply(&Update{Full: true, Revision: 30, Entries: entriesOf(rev, "a=1", "b=1")})
+		c.update.Full = true
+		m.Apply(&c.update)
+		assert.Equal(t, m.Rewinds(), c.rewinds, name)
+		assert.Equal(t, m.Version().Era, c.update.Era, name)
+		assert.DeepEqual(t, m.visible(), map[string]string{"a": "1", "b": "1"})
+		assert.Equal(t, m.Since(Version{}).Entries[0].Era, c.update.Era, name)
+	}
+}
+
 // Guards against a VM that lagged before the rewind and brings back what others knew to
 // be changed.
 func TestPastOfTheNewestCopyCounts(t *testing.T) {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -93,6 +93,11 @@
 			Msg("no VM could read the platform's store; entries that are missing may have lapsed")
 	case mesh.StoreRewound:
 		t.logRewind(a)
+	case mesh.UnwrittenDropped:
+		for _, e := range a.Entries {
+			t.log.Warn().Str("event", "entry_not_renewed").Str("key", e.Key).Uint64("revision", e.Revision).
+				Msg("nobody has written an entry since the platform's store returned from an older copy")
+		}
 	case mesh.EraIgnored:
 		t.log.Warn().Str("event", "store_era_ignored").Uint64("era", a.Era).Uint64("known_era", a.Known).
 			Msg("a read of the platform's store was ignored because of its era")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,7 +96,7 @@
 			ID: s.ID, Peer: s.PeerAddress, Front: s.FrontAddress, Zone: s.Zone, Region: s.Region,
 			StartedUnixMs: time.Now().UnixMilli(), Power: s.Cores,
 		},
-		Seeds: s.Seeds, Outlives: outlives(store),
+		Seeds: s.Seeds, Outlives: outlives(store), IsRenewed: isRenewed(store),
 	}
 }
 
--- a/gateway/storewire.go
+++ b/gateway/storewire.go
@@ -20,6 +20,15 @@
 	}
 }
 
+// isRenewed returns whether an entry is that of a target, which writes it all the time.
+func isRenewed(s Store) func(mirror.Entry) bool {
+	return func(e mirror.Entry) bool {
+		change, _ := s.Decode(e)
+		_, isTarget := change.(catalog.TargetUpdated)
+		return isTarget
+	}
+}
+
 // storeMetrics returns the state of the copy of the store as it is recorded.
 func storeMetrics(s *mesh.StoreState) metrics.Store {
 	m := metrics.Store{Era: s.Era, Rewinds: s.Rewinds, Ignored: s.Ignored, Kept: make(map[string]int, len(s.Kept))}
