Draw a return of the store from an older copy in the soak

Change: half of the seeds draw one, after all other steps of the seed, so that these stay as they were. The store is away for a quarter of the copy's age, and operator and targets repeat their last write of each key 1 s after it is back.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -52,7 +52,8 @@
 	runs            chan platformtest.Run
 	exits           chan string // VM name and error of each process that exited
 	config          platformtest.Config
-	remoteTargets   bool // targets of shards are in remoteZones
+	written         map[string]string // by key: what was written last; empty if it was removed
+	remoteTargets   bool              // targets of shards are in remoteZones
 	targetSeq       int
 }
 
@@ -65,7 +66,7 @@
 // newFleet starts the store, the targets and the VMs of a run. Runs with an odd seed
 // exercise relaying.
 func newFleet(daemonPath, dir string, seed int64) (*fleet, error) {
-	f := &fleet{daemonPath: daemonPath, dir: dir, store: platformtest.NewStore(), runs: make(chan platformtest.Run, 4096), exits: make(chan string, 64), remoteTargets: seed%2 == 1}
+	f := &fleet{daemonPath: daemonPath, dir: dir, store: platformtest.NewStore(), runs: make(chan platformtest.Run, 4096), exits: make(chan string, 64), written: make(map[string]string), remoteTargets: seed%2 == 1}
 	storeProxy, err := newProxy(f.store.Address())
 	if err != nil {
 		return nil, err
@@ -101,11 +102,35 @@
 	return fmt.Sprintf("127.%d.%d.%d", first+os.Getpid()%netCount, seed%netCount, vm+1)
 }
 
+// put writes an entry of the store.
+func (f *fleet) put(key, value string) {
+	f.written[key] = value
+	f.store.Put(key, value)
+}
+
+// remove removes an entry of the store.
+func (f *fleet) remove(key string) {
+	f.written[key] = ""
+	f.store.Delete(key)
+}
+
+// writeAgain repeats the last write of each key, as operators and targets do when the
+// store has lost it.
+func (f *fleet) writeAgain() {
+	for key, value := range f.written {
+		if value == "" {
+			f.store.Delete(key)
+			continue
+		}
+		f.store.Put(key, value)
+	}
+}
+
 // publishConfig publishes the configuration under a higher version. It skips version
 // numbers on purpose.
 func (f *fleet) publishConfig() {
 	f.config.Version += 3
-	f.store.Put(platformtest.ConfigKey, f.config.JSON())
+	f.put(platformtest.ConfigKey, f.config.JSON())
 }
 
 func (f *fleet) nextTargetZone(service string) string {
@@ -127,7 +152,7 @@
 		return err
 	}
 	f.targets = append(f.targets, &proxiedTarget{Target: t, proxy: targetProxy})
-	f.store.Put(platformtest.Entry(t.ID, t.Service, t.Zone, targetProxy.address(), false))
+	f.put(platformtest.Entry(t.ID, t.Service, t.Zone, targetProxy.address(), false))
 	return nil
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -15,6 +15,7 @@
 	callersPerVM        = 2
 	callInterval        = 40 * time.Millisecond
 	limitedCallInterval = 10 * time.Millisecond // of the workspace that sends more than its rate
+	rewriteDelay        = time.Second           // from the return of the store to the writes that it lost; targets write every 1.2 s
 	recoveryTime        = 7 * time.Second       // after the fault injection; the fleet must serve normally at its end
 	finalCalls          = 40
 	stopTimeout         = 4 * time.Second // the stop grace period of the settings plus 1 s
@@ -195,14 +196,19 @@
 	case storeSilent:
 		p.checker.lastDisturbance = time.Now()
 		f.storeProxy.silenceOpen()
+	case storeRewound:
+		away := s.Duration / 4
+		p.checker.lastDisturbance = time.Now().Add(away + rewriteDelay)
+		f.store.Drill(0, away, s.Duration)
+		p.runAfter(away+rewriteDelay, f.writeAgain)
 	case storeForgets:
 		f.store.DropHistory()
 	case targetKilled:
 		t.Kill()
-		f.store.Delete(platformtest.TargetKey(t.ID))
+		f.remove(platformtest.TargetKey(t.ID))
 		p.replaceTarget(t)
 	case targetDrains:
-		f.store.Put(platformtest.Entry(t.ID, t.Service, t.Zone, t.proxy.address(), true))
+		f.put(platformtest.Entry(t.ID, t.Service, t.Zone, t.proxy.address(), true))
 		p.checker.drainingSince[t.ID] = time.Now()
 		p.replaceTarget(t)
 	case targetDelayed, targetOneWay:
@@ -227,8 +233,8 @@
 		f.publishConfig()
 	case zoneOut:
 		zone := platformtest.ZoneOutKey(zones[s.Index%len(zones)])
-		f.store.Put(zone, "{}")
-		p.runAfter(s.Duration, func() { f.store.Delete(zone) })
+		f.put(zone, "{}")
+		p.runAfter(s.Duration, func() { f.remove(zone) })
 	}
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -11,7 +11,7 @@
 // kind is the kind of a fault or of a planned operation.
 type kind string
 
-// The kinds that schedule chooses from.
+// The kinds of steps. All but storeRewound are in kinds.
 const (
 	killVM        kind = "kill-vm"
 	stopVM        kind = "stop-vm" // planned restart: SIGTERM, then a new process
@@ -21,6 +21,7 @@
 	storeResets   kind = "store-resets"
 	storeSilent   kind = "store-silent"
 	storeForgets  kind = "store-forgets"
+	storeRewound  kind = "store-rewound" // returns from a copy that is as old as the step lasts
 	targetKilled  kind = "target-killed" // a new target replaces it
 	targetDrains  kind = "target-drains"
 	targetDelayed kind = "target-delayed"
@@ -71,6 +72,13 @@
 			Duration: minFaultDuration + time.Duration(random.Int63n(int64(maxFaultDuration-minFaultDuration))),
 		})
 	}
+	// Drawn last, so that the other steps of a seed stay as they were.
+	if duration > warmUpTime && random.Intn(2) == 0 {
+		steps = append(steps, step{
+			At: warmUpTime + time.Duration(random.Int63n(int64(duration-warmUpTime))), Kind: storeRewound,
+			Duration: minFaultDuration + time.Duration(random.Int63n(int64(maxFaultDuration-minFaultDuration))),
+		})
+	}
 	slices.SortFunc(steps, func(a, b step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,6 +17,7 @@
 var seeds = map[int64]string{
 	1:   "basic mix of faults; it failed in an early version of the soak",
 	172: "reload, paused VM, silent connections to a target and to the store, zone out",
+	11:  "store that returns from a copy 2 s old",
 }
 
 // Guards against violated guarantees while processes, connections, targets and the
