Look for unwritten entries until none is left

Cause: after a rewind every confirmation of the copy decoded the entries of all targets, for as long as the VM ran.

Change: entries of before the era are looked at first, and none any more once all of them are written or hidden.

--- a/core/mesh/era.go
+++ b/core/mesh/era.go
@@ -48,13 +48,14 @@
 
 // eraEvidence is what a VM knows about eras that differ from that of its copy.
 type eraEvidence struct {
-	candidate uint64    // that the last reads stated, and that is not believed yet
-	reads     int       // in a row that stated the candidate; zero for none
-	since     time.Time // of the first of them
-	discarded uint64    // messages of this era and later ones are ignored; zero for none
-	enteredAt time.Time // when the copy entered its era
-	rewinds   int       // of the copy that were reported
-	ignored   int       // reads that were ignored because of their era
+	candidate  uint64    // that the last reads stated, and that is not believed yet
+	reads      int       // in a row that stated the candidate; zero for none
+	since      time.Time // of the first of them
+	discarded  uint64    // messages of this era and later ones are ignored; zero for none
+	enteredAt  time.Time // when the copy entered its era
+	allWritten bool      // no entry waits for its writer in this era
+	rewinds    int       // of the copy that were reported
+	ignored    int       // reads that were ignored because of their era
 }
 
 // judge reports whether to believe an era that a read states, when the copy's era is
@@ -97,10 +98,12 @@
 // returned from an older copy, once the copy is confirmed as of a time by which the
 // writers that live have.
 func (m *Machine) dropUnwritten(now time.Time) {
-	if m.isRenewed == nil || !m.storeCopy.ConfirmedAt().After(m.eras.enteredAt.Add(unwrittenGrace)) {
+	if m.isRenewed == nil || m.eras.allWritten || !m.storeCopy.ConfirmedAt().After(m.eras.enteredAt.Add(unwrittenGrace)) {
 		return
 	}
-	if dropped := m.storeCopy.DropUnwritten(m.isRenewed); len(dropped) > 0 {
+	dropped, settled := m.storeCopy.DropUnwritten(m.isRenewed)
+	m.eras.allWritten = settled
+	if len(dropped) > 0 {
 		m.viewDirty = true
 		m.publishChanges(now, m.storeCopy.Version(), dropped)
 		m.emit(UnwrittenDropped{Entries: dropped})
@@ -132,7 +135,7 @@
 // noteEra records that the copy entered another era than that of the given version, or
 // is the first one.
 func (m *Machine) noteEra(now time.Time, before mirror.Version) {
-	m.eras.enteredAt, m.eras.reads = now, 0
+	m.eras.enteredAt, m.eras.reads, m.eras.allWritten = now, 0, false
 	after := m.storeCopy.Version()
 	if after.Era >= m.eras.discarded {
 		m.eras.discarded = 0
--- a/core/mirror/rewind.go
+++ b/core/mirror/rewind.go
@@ -141,31 +141,35 @@
 
 // DropUnwritten hides entries that are no more than remainders of an older copy of the
 // store, and returns them as deleted: of those that their writers renew, the ones that
-// were not written in the present era, if at least as many others were.
-func (m *Mirror) DropUnwritten(isRenewed func(Entry) bool) []Entry {
+// were not written in the present era, if at least as many others were. Settled tells
+// that no such entries are left.
+func (m *Mirror) DropUnwritten(isRenewed func(Entry) bool) (dropped []Entry, settled bool) {
 	if len(m.known) == 0 {
-		return nil
+		return nil, false // no rewind is known
 	}
-	written := 0
 	var unwritten []string
 	for key, e := range m.entries {
-		if _, isPast := m.past[key]; isPast || !isRenewed(e) {
-			continue
+		if _, isPast := m.past[key]; !isPast && e.Revision <= m.eraStart && isRenewed(e) {
+			unwritten = append(unwritten, key)
 		}
-		if e.Revision > m.eraStart {
+	}
+	if len(unwritten) == 0 {
+		return nil, true
+	}
+	written := 0
+	for _, e := range m.entries {
+		if e.Revision > m.eraStart && isRenewed(e) {
 			written++
-		} else {
-			unwritten = append(unwritten, key)
 		}
 	}
-	if len(unwritten) == 0 || written < len(unwritten) {
-		return nil
+	if written < len(unwritten) {
+		return nil, false
 	}
 	before, former := m.effective(), m.known[len(m.known)-1]
 	for _, key := range unwritten {
 		m.keepPast(Entry{Key: key, Era: former.Era, Revision: former.Revision, Deleted: true})
 	}
-	return m.changesFrom(before)
+	return m.changesFrom(before), true
 }
 
 // keepPast makes an entry of an earlier era a past one if it outlives the rewind, and
--- a/core/mirror/rewind_test.go
+++ b/core/mirror/rewind_test.go
@@ -152,3 +152,20 @@
 	assert.DeepEqual(t, current.visible(), map[string]string{"b": "1"})
 	assert.DeepEqual(t, other.visible(), current.visible())
 }
+
+// Guards against entries that are dropped where their writers are not seen to renew any.
+func TestUnwrittenEntriesAreDropped(t *testing.T) {
+	rev := map[string]uint64{"a=1": 1, "b=1": 2, "c=1": 3, "a=2": 11, "b=2": 12, "c=2": 13}
+	all := func(Entry) bool { return true }
+	m := New(keepAll)
+	m.Apply(&Update{Full: true, Era: 1, Revision: 20, Entries: entriesOf(rev, "a=1", "b=1", "c=1")})
+	m.Apply(&Update{Full: true, Era: 2, Revision: 10, Entries: entriesOf(rev, "a=1", "b=1", "c=1")})
+	m.Apply(&Update{Era: 2, Revision: 11, Entries: entriesOf(rev, "a=2")})
+	dropped, settled := m.DropUnwritten(all)
+	assert.Assert(t, len(dropped) == 0 && !settled)
+	m.Apply(&Update{Era: 2, Revision: 12, Entries: entriesOf(rev, "b=2")})
+	dropped, settled = m.DropUnwritten(all)
+	assert.Assert(t, len(dropped) == 1 && dropped[0].Key == "c" && dropped[0].Deleted && settled)
+	m.Apply(&Update{Era: 2, Revision: 13, Entries: entriesOf(rev, "c=2")})
+	assert.DeepEqual(t, m.visible(), map[string]string{"a": "2", "b": "2", "c": "2"})
+}
