Keep places of targets from all less urgent requests

A place was kept from a priority by the number of its own and less urgent attempts alone. With three priorities in one service, two attempts of priority 1 left the third place free, and one of priority 2 took it, although priority 1 was refused: the less urgent one was served more often, and the early return of startQueued ("less urgent ones find no place either") was not true.

The attempts that count are now all that are less urgent than the most urgent priority that arrives regularly, whichever priority asks. A target with more free places than are kept admits an attempt without looking at the arrivals. Places are no longer kept for some seconds after a workspace has got a rate.

TestKeptPlacesAreKeptFromAllLessUrgent failed before. The check of expectsMoreUrgent in TestNoOverloadControlWhereRatesLimitTheDemand asks mostUrgentArrivals, which replaces it.

--- a/core/serve/expect_test.go
+++ b/core/serve/expect_test.go
@@ -89,5 +89,6 @@
 	s.recordArrival(h.now, 0)
 	s.recordArrival(h.now, 0)
 	s.recordArrival(h.now, 0)
-	assert.Assert(t, !s.expectsMoreUrgent(h.now, 1))
+	_, urgent := s.mostUrgentArrivals(h.now, 1)
+	assert.Assert(t, !urgent)
 }
--- a/core/serve/reserve.go
+++ b/core/serve/reserve.go
@@ -43,31 +43,43 @@
 	s.arrivals[priority] = arrivals{count: s.arrivals[priority].current(now) + 1, at: now}
 }
 
-// expectsMoreUrgent reports whether sub-requests that are more urgent than a priority
-// arrive regularly.
-func (s *service) expectsMoreUrgent(now time.Time, priority int) bool {
-	for p, a := range s.arrivals {
-		if p < priority && a.current(now) >= regularArrivals {
-			return true
+// mostUrgentArrivals returns the most urgent priority above the given one of which
+// sub-requests arrive regularly. It returns false if there is none, or without overload
+// control.
+func (s *service) mostUrgentArrivals(now time.Time, priority int) (int, bool) {
+	most, found := priority, false
+	if s.overloadControl {
+		for p, a := range s.arrivals {
+			if p < most && a.current(now) >= regularArrivals {
+				most, found = p, true
+			}
 		}
 	}
-	return false
+	return most, found
 }
 
-// hasRoom reports whether the window of the target admits an attempt of a priority.
+// hasRoom reports whether the window of the target admits an attempt of a priority. It
+// admits none that is less urgent than one that it refuses.
 func (t *target) hasRoom(now time.Time, priority int) bool {
-	size, lessUrgent, sameOrLess := t.window.size(), 0, 0
+	size := t.window.size()
+	switch n := len(t.running); {
+	case n >= size: // a window of one place can't keep one free: an urgent attempt goes beyond it
+		return t.service.overloadControl && size == 1 && n == 1 && t.running[0].priority > priority
+	case n < size-reservedPlaces, size == 1:
+		return true
+	}
+	urgent, found := t.service.mostUrgentArrivals(now, priority)
+	return !found || t.runningLessUrgent(urgent) < size-reservedPlaces
+}
+
+// runningLessUrgent returns the number of attempts in flight that are less urgent than a
+// priority.
+func (t *target) runningLessUrgent(priority int) int {
+	n := 0
 	for _, a := range t.running {
 		if a.priority > priority {
-			lessUrgent++
-		}
-		if a.priority >= priority {
-			sameOrLess++
+			n++
 		}
 	}
-	if len(t.running) >= size {
-		// A window of one place can't keep one free: an urgent attempt goes beyond it.
-		return t.service.overloadControl && size == 1 && len(t.running) == lessUrgent && lessUrgent == 1
-	}
-	return size == 1 || !t.service.expectsMoreUrgent(now, priority) || sameOrLess < size-reservedPlaces
+	return n
 }
--- a/core/serve/reserve_test.go
+++ b/core/serve/reserve_test.go
@@ -46,3 +46,20 @@
 		})
 	}
 }
+
+// Guards against a place that is kept from one priority and given to a less urgent one,
+// which then is served more often.
+func TestKeptPlacesAreKeptFromAllLessUrgent(t *testing.T) {
+	s := &service{overloadControl: true}
+	target := &target{service: s, window: window{limit: 3}, running: []*attempt{{priority: 1}, {priority: 1}}}
+	for i := range 20 {
+		s.recordArrival(epoch.Add(time.Duration(i-20)*200*time.Millisecond), 0)
+	}
+	for priority, fits := range []bool{true, false, false} {
+		assert.Equal(t, target.hasRoom(epoch, priority), fits, "priority %d", priority)
+	}
+	s.overloadControl = false // a workspace has got a rate
+	for priority := range 3 {
+		assert.Assert(t, target.hasRoom(epoch, priority), "priority %d", priority)
+	}
+}
