Leave avoided targets out of the admission of fan-outs

Under overload control the expected wait and the expected attempt were those of the best usable target, also of one that is ejected or about to end, which gets no work while another target is healthy. As nothing runs there, it looked idle and of usual speed, so that a fan-out was admitted although the targets that would run it have long queues. That is the case where targets become unresponsive and the others are slow.

Only the targets that attempts go to count now. Without overload control the expected wait is as before.

TestAdmissionCountsNoAvoidedTargets failed before.

--- a/core/serve/expect.go
+++ b/core/serve/expect.go
@@ -47,9 +47,9 @@
 	}
 	median := e.route(q.route.Name).atPace1.P50
 	x.attempt, x.unloaded = math.MaxInt64, math.MaxInt64
-	usable, free := false, false
+	usable, free, choice := false, false, s.choice(now)
 	for _, t := range s.targets {
-		if !t.usable(now) || t.backsOff(now) {
+		if !t.usable(now) || t.backsOff(now) || !choice.includes(now, t) {
 			continue
 		}
 		unloaded := t.unloadedTime(now, median)
@@ -68,9 +68,9 @@
 // of it is queued on this VM. It returns false if the service has no target. It does not count
 // the time for which all targets want no requests; backoffLeft does.
 func (e *Engine) expectedWait(now time.Time, s *service, ahead, priority int) (time.Duration, bool) {
-	capacity, full := 0, s.overloadControl
+	capacity, full, choice := 0, s.overloadControl, s.choice(now)
 	for _, t := range s.targets {
-		if t.usable(now) && !t.backsOff(now) {
+		if t.usable(now) && !t.backsOff(now) && (!s.overloadControl || choice.includes(now, t)) {
 			full = full && !t.hasRoom(now, priority)
 			capacity += max(min(t.window.size(), len(t.conns)), 1)
 		}
--- a/core/serve/expect_test.go
+++ b/core/serve/expect_test.go
@@ -52,6 +52,24 @@
 	}
 }
 
+// Guards against fan-outs that are admitted since a target is idle that gets no work.
+func TestAdmissionCountsNoAvoidedTargets(t *testing.T) {
+	for name, avoid := range map[string]func(h *harness, t *target){
+		"ejected": func(h *harness, t *target) { t.ejectedUntil = h.now.Add(time.Second) },
+		"leaving": func(h *harness, t *target) { t.lastResortUntil = h.now.Add(time.Second) },
+	} {
+		h := newHarness(t)
+		h.crowd(3, 2, 8)
+		for i := range 3 {
+			idle := h.engine.service(shardName(i)).targets[0]
+			idle.load, idle.sampleAt = Load{}, time.Time{}
+			avoid(h, idle)
+		}
+		id := h.submit("/sweep/x")
+		assert.Assert(t, h.answers[id] != nil && h.answers[id].Refusal != nil, "%s: admitted", name)
+	}
+}
+
 // Guards against refusing single requests that would be late, as a late answer is worth
 // most of one in time, and against admitting those that would wait beyond their deadline.
 func TestSingleRequestsAreAdmittedUpToTheirDeadline(t *testing.T) {
--- a/core/serve/pick.go
+++ b/core/serve/pick.go
@@ -111,6 +111,21 @@
 	return cost
 }
 
+// choice says which targets of a service attempts go to only for want of others.
+type choice struct{ hasHealthy, hasStaying bool }
+
+func (s *service) choice(now time.Time) choice {
+	return choice{hasHealthy: s.hasHealthyTarget(now), hasStaying: s.hasStayingTarget(now)}
+}
+
+// includes reports whether attempts go to a target that can accept them.
+func (c choice) includes(now time.Time, t *target) bool {
+	if t.isLeaving() {
+		return !c.hasStaying
+	}
+	return !c.hasHealthy || !t.ejected(now)
+}
+
 // hasHealthyTarget reports whether any target is usable and not ejected.
 func (s *service) hasHealthyTarget(now time.Time) bool {
 	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.usable(now) && !t.ejected(now) && !t.isLeaving() })
