Bound the expected time of attempts at targets with false figures

When a target begins or ceases to state its pace, the measured slowness takes over what the pace explained. Answers that state 0.25, then 16, then nothing multiplied it by up to 64 each time, without a bound: it became infinite and then not a number, and the expected time of an attempt became a negative duration. The target then looked like the fastest one and attracted all work of its service. A reported queue of 2^20 requests could overflow the expected lateness of a query likewise.

The slowness is bounded by that of an attempt that counts as slowest at the highest pace, and the expected time by an hour.

TestFalseFiguresDoNotOverflow failed before: -2562047h, slowness NaN.

--- a/core/serve/estimate.go
+++ b/core/serve/estimate.go
@@ -24,6 +24,13 @@
 	silenceTolerance = 2 * time.Second
 	optimismHalfLife = 5 * time.Second
 	minSilentPace    = 0.5
+	// highestSlowness is that of an attempt of maxSlowness medians at a target of the
+	// highest pace that ceases to state it. A target that states others at random can't
+	// exceed it.
+	highestSlowness = maxSlowness * maxPace
+	// maxAttemptTime bounds the expected time of an attempt, so that sums and products
+	// of it don't overflow, whatever queue a target reports.
+	maxAttemptTime = time.Hour
 	// minMedian bounds the median that latencies are compared with.
 	minMedian = time.Millisecond
 )
@@ -55,11 +62,11 @@
 	pace := usablePace(stated)
 	switch {
 	case pace == 0:
-		s.slowness *= s.expectedPace(now)
+		s.slowness = min(s.slowness*s.expectedPace(now), highestSlowness)
 		s.pace, s.paceAt, s.meanPace = 0, time.Time{}, 0
 		return
 	case s.pace == 0:
-		s.slowness /= pace
+		s.slowness = min(s.slowness/pace, highestSlowness)
 		s.meanPace = pace
 	default:
 		span := s.paceAge(now)
@@ -141,7 +148,7 @@
 // to the time that it runs, in nanoseconds.
 func (t *target) withRequestsAhead(now time.Time, run float64) time.Duration {
 	ahead, slots := t.requestsAhead(now), float64(t.slots())
-	return time.Duration(run * (1 + max(ahead+1-slots, 0)/slots))
+	return time.Duration(min(run*(1+max(ahead+1-slots, 0)/slots), float64(maxAttemptTime)))
 }
 
 // runTime estimates how long a request runs at the target once it has a slot, in
--- a/core/serve/estimate_test.go
+++ b/core/serve/estimate_test.go
@@ -45,6 +45,28 @@
 	assert.Assert(t, s.expectedPace(epoch) > 0, "a clock that goes back")
 }
 
+// Guards against an estimate that overflows, and so becomes the shortest one, at a target
+// that begins and ceases to state figures, or reports a queue without bounds.
+func TestFalseFiguresDoNotOverflow(t *testing.T) {
+	const median = 800 * time.Millisecond
+	h := newHarness(t)
+	tg := h.engine.service("single").targets[0]
+	for range 400 {
+		for _, pace := range []float64{0.25, 16, 0} {
+			tg.recordSlowness(h.now, median, median, tg.expectedPace(h.now))
+			tg.statePace(h.now, pace)
+		}
+	}
+	d := h.engine.attemptTime(h.now, tg, median)
+	assert.Assert(t, d >= median/10 && d <= highestSlowness*median, "%v, slowness %v", d, tg.slowness)
+	tg.statePace(h.now, maxPace)
+	tg.loadAt, tg.load = h.now, Load{Running: 1 << 20, Queued: 1 << 20}
+	d = h.engine.attemptTime(h.now, tg, median)
+	assert.Equal(t, d, maxAttemptTime)
+	x := expectation{attempt: d, wait: d}
+	assert.Assert(t, x.lateBy(time.Second, time.Second) > time.Hour)
+}
+
 // Guards against false figures that outweigh the VM's own measurements: whatever a
 // target states, its expected time approaches the measured one.
 func TestFalsePacesAreOutweighed(t *testing.T) {
