Let relays of fan-outs that run once end without wake-ups

Each shard that another VM runs has a time from which it may be hedged. A fan-out that must not run twice has no hedges, and these times were never cleared once they had passed, so that the timer of the query fired each millisecond until its deadline, with a look at all shards. VMs that are not active relay all their fan-outs now, and are the weakest ones.

The times are cleared for all routes; needsHedge denies the hedge.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -280,9 +280,6 @@
 // startDueHedges starts a second attempt for each sub-request whose first one
 // is late.
 func (e *Engine) startDueHedges(now time.Time, q *query) {
-	if !q.route.Idempotent {
-		return
-	}
 	e.relayDueHedges(now, q)
 	for _, sub := range q.subRequests {
 		if sub.done || sub.hedgeAt.IsZero() || now.Before(sub.hedgeAt) {
@@ -314,7 +311,7 @@
 
 // needsHedge reports whether a hedge of a sub-request is due and allowed.
 func (e *Engine) needsHedge(now time.Time, sub *subRequest) bool {
-	if sub.done || sub.hedgeAt.IsZero() || now.Before(sub.hedgeAt) {
+	if sub.done || sub.hedgeAt.IsZero() || now.Before(sub.hedgeAt) || !sub.query.route.Idempotent {
 		return false
 	}
 	return sub.pending() == 1 && !sub.hedged && sub.possibleRuns+sub.pending() < sub.query.route.MaxAttempts && !e.tooLateToStart(now, sub.query, 0)
--- a/core/serve/handoff_test.go
+++ b/core/serve/handoff_test.go
@@ -11,6 +11,7 @@
 	"github.com/anvilfork/anvilfork/core/catalog"
 	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mesh"
+	"github.com/anvilfork/anvilfork/core/outcome"
 )
 
 const wideShards = 36
@@ -274,6 +275,25 @@
 	assert.Equal(t, h.answers[id].Merged.MissingShards, 0)
 }
 
+// Guards against a VM that wakes up each millisecond while another VM runs a fan-out that
+// must not be hedged, and against a second run of its shards.
+func TestHandOffThatMustRunOnce(t *testing.T) {
+	h := newWideHarness(t, "weak")
+	for _, r := range h.config.Routes() {
+		r.Idempotent = false
+	}
+	id := h.submit("/sweep/x")
+	steps := 0
+	for end := h.now.Add(500 * time.Millisecond); h.engine.Next().Before(end); steps++ {
+		h.now = laterOf(h.engine.Next(), h.now)
+		h.step(Tick{})
+	}
+	assert.Assert(t, steps < 20, "%d steps in half a second", steps)
+	h.step(RelayFailed{Relay: h.relayed[0].Relay, Cause: "reset"})
+	assert.Equal(t, h.answers[id].Refusal.Outcome, outcome.Unknown)
+	assert.Equal(t, len(h.relayed)+len(h.connecting), 1)
+}
+
 // Guards against work that goes on at an active VM after its caller has gone, and
 // against a withdrawn key that lets refused work start again.
 func TestHandOffEndsWithItsQuery(t *testing.T) {
