Adjust windows by the report of the answer at hand

Each answer adjusted the window by the last load that the target had reported.

An answer without a report now counts as one without a queue under overload control. Where rates bound the demand nothing changes.

TestWindowGrowsWithoutReports failed before: 1 place after 200 answers.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -160,7 +160,7 @@
 		if ev.Load != nil {
 			t.window.recordServiceTime(elapsed, a.route.latency.P50, t.load, t.slots())
 		}
-		t.window.answered(now, a.started, t.load, t.slots(), t.service.queueObjective(), float64(e.maxConns(t.service)))
+		t.window.answered(now, a.started, t.loadWith(ev), t.slots(), t.service.queueObjective(), float64(e.maxConns(t.service)))
 		return
 	case ev.Kind == WrongProcess:
 		t.replaced, t.connected = true, false // until the next CatalogChanged
--- a/core/serve/load.go
+++ b/core/serve/load.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// loadWith returns the load by which an answer adjusts the window. Under overload
+// control that is what the answer states, none if it states nothing: a report says
+// nothing of later answers, and a target may cease to report.
+func (t *target) loadWith(ev AttemptDone) Load {
+	if ev.Load == nil && t.service.overloadControl {
+		return Load{}
+	}
+	return t.load
+}
+
 // otherVMsLoad estimates the number of requests of other VMs at the target from its
 // last load report, whose weight declines with its age. At a target that states its
 // pace the mean takes over, as the VMs that know it to be fast all use it.
--- a/core/serve/window_test.go
+++ b/core/serve/window_test.go
@@ -111,3 +111,23 @@
 	w.answered(epoch.Add(time.Minute), epoch.Add(time.Minute), Load{Running: 5}, 6, 80*time.Millisecond, 9)
 	assert.Assert(t, w.limit > 1)
 }
+
+// Guards against a target that ceases to report its load and is left with one place for
+// good, by its last report.
+func TestWindowGrowsWithoutReports(t *testing.T) {
+	h := newHarness(t)
+	target := h.engine.service("single").targets[0]
+	answer := func(load *Load) {
+		a := &attempt{target: target, route: h.engine.route("read"), started: h.now}
+		h.now = h.now.Add(400 * time.Millisecond)
+		h.engine.recordResult(h.now, a, AttemptDone{Kind: Answered, Load: load, Response: &Response{Success: true}})
+	}
+	for range 5 {
+		answer(&Load{Running: 2, Queued: 60, Slots: 2})
+	}
+	assert.Equal(t, target.window.size(), 1)
+	for range 200 {
+		answer(nil)
+	}
+	assert.Assert(t, target.window.size() > initialLimit, "%v places", target.window.limit)
+}
