Open connections for queued work in order, and after a refusal

The number of connections that are opened for queued work is limited, and the upkeep every 100 ms opened them in the order of a map: the choice of targets differed between runs, and work left the zone while it had targets that were not tried. When a target refused its connection, no other was tried until the next upkeep.

The upkeep opens them as a new request does, this zone first, and so does a refused connection at once.

TestFaultConnectionsOfQueuedWorkAreRefused failed before in both cases.

--- a/core/serve/conns.go
+++ b/core/serve/conns.go
@@ -15,6 +15,9 @@
 		return
 	}
 	e.maintainAt = now.Add(maintenanceInterval)
+	for _, s := range e.services { // before the targets, which come in no order
+		e.connectForQueued(now, s)
+	}
 	for id, t := range e.targets {
 		e.ensureSpareConn(now, t)
 		e.closeSurplusConn(now, t)
@@ -181,6 +184,7 @@
 		}
 	}
 	e.ensureSpareConn(now, t)
+	e.connectForQueued(now, t.service)
 }
 
 // dropConn closes a connection and removes it. The cause is that of the next one.
--- a/core/serve/queueconns.go
+++ b/core/serve/queueconns.go
@@ -31,6 +31,14 @@
 	}
 }
 
+// connectForQueued opens further connections for work that is still queued after one was
+// refused or hung.
+func (e *Engine) connectForQueued(now time.Time, s *service) {
+	if len(s.queue) > 0 {
+		e.connectForQueue(now, s, s.queue[0].query.seq)
+	}
+}
+
 // queueNeedsConns reports whether more connections are to be opened for the queued work
 // of a service. Those that are slow to open don't count.
 func (s *service) queueNeedsConns(now time.Time) bool {
--- a/core/serve/queueconns_test.go
+++ b/core/serve/queueconns_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +52,29 @@
 	assert.Assert(t, len(h.connecting) > hanging, "no other target is tried")
 	assert.Assert(t, len(h.connecting) <= 3*hanging, "%d connections for one request", len(h.connecting))
 }
+
+// Guards against queued work that leaves the zone for want of order when the first
+// targets do not accept connections, and against a pause before others are tried.
+func TestFaultConnectionsOfQueuedWorkAreRefused(t *testing.T) {
+	for name, c := range map[string]struct{ refuse bool }{"refused": {true}, "hanging": {}} {
+		t.Run(name, func(t *testing.T) {
+			h := poolHarness(t, 24)
+			h.submit("/read/x")
+			tried := make(map[string]bool)
+			for len(tried) < 8 { // targets of this zone
+				assert.Assert(t, len(h.connecting) >= queueConnsPerRequest, "none is tried after %v", tried)
+				for _, c := range h.connecting {
+					assert.Equal(t, h.everKnown[c.Address].Zone, "z0", "a target of another zone")
+					tried[c.Address] = true
+				}
+				if !c.refuse {
+					h.advance(connectTimeout + maintenanceInterval)
+					continue
+				}
+				for _, c := range slices.Clone(h.connecting) {
+					h.step(ConnClosed{Conn: c.Conn, Refused: true})
+				}
+			}
+		})
+	}
+}
