Admit fan-outs that are read after their objective

Under overload control the time in which a fan-out must be answered became negative when its objective had passed at the admission, as on a VM that is too busy to read it in time. Each service then counted as one whose targets all want no requests for longer than that, and the query was refused with no_replica and a retry-after of at least 500 ms: the busier a VM, the more of the urgent queries, whose objective is the shortest, although all targets were free.

Such a query is given until its deadline, as before overload control.

TestFanOutThatIsReadLateIsAdmitted failed before.

--- a/core/serve/expect.go
+++ b/core/serve/expect.go
@@ -90,18 +90,17 @@
 }
 
 // admissionTime returns the time within which a query must be expected to be answered to
-// be admitted.
+// be admitted: until its objective, or until its deadline if that has passed.
 func (e *Engine) admissionTime(now time.Time, q *query, untilDeadline time.Duration) time.Duration {
 	objective := q.objective
-	switch {
-	case e.config.LimitsDemand():
-		if !now.Before(objective) {
+	if !e.config.LimitsDemand() {
+		if q.route.FanOut == nil {
 			return untilDeadline
 		}
-	case q.route.FanOut == nil:
+		objective = objective.Add(q.waited) // a caller that was refused counts it from its next try
+	}
+	if !now.Before(objective) {
 		return untilDeadline
-	default: // a caller that was refused counts the objective from its next try
-		objective = objective.Add(q.waited)
 	}
 	return min(untilDeadline, objective.Sub(now))
 }
--- a/core/serve/expect_test.go
+++ b/core/serve/expect_test.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// Guards against fan-outs that are refused for want of targets since their objective has
+// passed, or nearly so, when a busy VM has read them.
+func TestFanOutThatIsReadLateIsAdmitted(t *testing.T) {
+	for _, lag := range []time.Duration{85 * time.Millisecond, 95 * time.Millisecond, 300 * time.Millisecond} {
+		h := newHarness(t)
+		id := h.submitWaited(0, lag)
+		assert.Assert(t, h.answers[id] == nil, "%v: refused", lag)
+		assert.Equal(t, len(h.started), fanOutShards)
+	}
+}
+
 // Guards against fan-outs that are admitted since a target is idle that gets no work.
 func TestAdmissionCountsNoAvoidedTargets(t *testing.T) {
 	for name, avoid := range map[string]func(h *harness, t *target){
