State the longest wait to refused callers where rates limit the demand

The retry-after of a refused fan-out became the wait after which as many services are late as may be missing. It applied to deployments whose workspaces have rates too, which are to be served as before.

TestRetryAfterWhereRatesLimitTheDemand failed before.

--- a/core/serve/expect.go
+++ b/core/serve/expect.go
@@ -142,7 +142,10 @@
 	}
 	if down+len(late) > maxMissing {
 		slices.Sort(late)
-		wait := late[len(late)-1-(maxMissing-down)] // so many are still late then that may be missing
+		wait := late[len(late)-1]
+		if !e.config.LimitsDemand() {
+			wait = late[len(late)-1-(maxMissing-down)] // so many are still late then that may be missing
+		}
 		return refusal(outcome.CodeOverloaded, addJitter(max(min(max(wait, minRetryAfter), maxRetryAfter), backoff), q.request.Fingerprint),
 			"work waits %v longer than the objective allows at %d of %d services", wait.Round(time.Millisecond), len(late), len(q.subRequests))
 	}
--- a/core/serve/expect_test.go
+++ b/core/serve/expect_test.go
@@ -121,3 +121,21 @@
 	_, urgent := s.mostUrgentArrivals(h.now, 1)
 	assert.Assert(t, !urgent)
 }
+
+// Guards against a retry-after that changed where rates limit the demand: there it is
+// that of the service with the longest wait.
+func TestRetryAfterWhereRatesLimitTheDemand(t *testing.T) {
+	h := newHarness(t)
+	h.config = testConfig(2, testRoutes(), 1000)
+	h.publish()
+	for range 20 {
+		h.submit("/sweep/x")
+		h.openAll()
+	}
+	for i := range 3 { // two may be missing
+		s := h.engine.service(shardName(i))
+		assert.Assert(t, len(s.queue) > 0)
+		s.meanAttempt, s.meanAtPace1 = time.Duration(i*i+1)*time.Second, 0
+	}
+	assert.Assert(t, h.answers[h.submit("/sweep/x")].Refusal.RetryAfter >= maxRetryAfter)
+}
