Count a reported failure of a relayed shard once

A reply that reports the failure of a shard twice made the asking VM hand the shard over twice in one call, and the other VM run it twice. Only a faulty or future build sends such a reply; the report of a shard that the relay does not run any more is ignored now.

TestFailureOfARelayedShardCountsOnce failed before.

--- a/core/serve/handoff_test.go
+++ b/core/serve/handoff_test.go
@@ -275,6 +275,15 @@
 	assert.Equal(t, h.answers[id].Merged.MissingShards, 0)
 }
 
+// Guards against a shard that runs twice since a reply reports its failure twice.
+func TestFailureOfARelayedShardCountsOnce(t *testing.T) {
+	h := newWideHarness(t, "weak")
+	h.submit("/sweep/x")
+	twice := []RelayedFailure{{Shard: 0}, {Shard: 0}}
+	h.step(RelayReplied{Relay: h.relayed[0].Relay, Reply: &RelayReply{Failed: twice, More: true}})
+	assert.DeepEqual(t, h.relayed[1].Work.Shards, []string{shardName(0)})
+}
+
 // Guards against a VM that wakes up each millisecond while another VM runs a fan-out that
 // must not be hedged, and against a second run of its shards.
 func TestHandOffThatMustRunOnce(t *testing.T) {
--- a/core/serve/relayreply.go
+++ b/core/serve/relayreply.go
@@ -87,8 +87,11 @@
 
 // relayedShardFailed records that a relay has ended a sub-request without an answer,
 // and reports whether it is to run again. It is not while another attempt is in
-// flight.
+// flight, or if the relay has reported its end before.
 func (e *Engine) relayedShardFailed(now time.Time, r *relay, sub *subRequest, f RelayedFailure) bool {
+	if !r.runs(sub) {
+		return false
+	}
 	r.detach(sub)
 	sub.delivered += f.Attempts
 	sub.possibleRuns += f.PossibleRuns
@@ -140,7 +143,7 @@
 	}
 	var again []*subRequest
 	for _, sub := range r.subRequests {
-		if r.runs(sub) && e.relayedShardFailed(now, r, sub, failure) {
+		if e.relayedShardFailed(now, r, sub, failure) {
 			again = append(again, sub)
 		}
 	}
