--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -14,15 +14,6 @@
 	// maxRefusals is how many targets may refuse a sub-request beyond the
 	// attempts that the route allows.
 	maxRefusals = 2
-
-	// hedgeAfterPercent is the share of the time until the objective, in
-	// percent, before which an attempt is not hedged: it may well be answered
-	// in time, and the hedge mostly crosses zones.
-	hedgeAfterPercent = 30
-	minHedgeWait      = 4 * time.Millisecond // shorter waits are dominated by timers and the network
-	// hedgeRecheckDivisor divides the median latency: a hedge that could not
-	// start is tried again after the result.
-	hedgeRecheckDivisor = 4
 )
 
 // startOrQueue starts a sub-request on the best free target, or queues it until
@@ -56,7 +47,9 @@
 		e.finish(now, q, a)
 		return
 	}
-	hedgeWait := e.hedgeWaitAt(now, sub, t)
+	if !hedge && q.route.Idempotent { // before the attempt counts as load of the target
+		sub.hedgeAt = now.Add(e.hedgeWaitAt(now, sub, t))
+	}
 	e.attemptSeq++
 	a := &attempt{id: e.attemptSeq, subRequest: sub, route: e.route(q.route.Name), priority: q.priority, fingerprint: q.request.Fingerprint,
 		target: t, conn: t.idleConn(now), started: now}
@@ -72,20 +65,11 @@
 	if t.reg.Zone != e.settings.Zone {
 		q.crossZone++
 	}
-	if !hedge && q.route.Idempotent {
-		sub.hedgeAt = now.Add(hedgeWait)
-	}
 	left := max(q.deadline.Sub(now), time.Millisecond)
 	e.emit(StartAttempt{Attempt: a.id, Conn: a.conn.id, Request: q.request, Target: t.reg.ID, Verified: a.conn.verified, Workspace: q.workspaceName, TimeLeft: left})
 	e.ensureSpareConn(now, t)
 }
 
-// hedgeWait returns how long the first attempt of a sub-request may take before
-// it is hedged.
-func (e *Engine) hedgeWait(now time.Time, q *query) time.Duration {
-	return max(e.route(q.route.Name).latency.P90, minHedgeWait, q.objective.Sub(now)*hedgeAfterPercent/100)
-}
-
 // attemptDone handles the end of an attempt: it frees its slot and connection,
 // updates the target's statistics and completes, retries or fails its
 // sub-request.
@@ -214,14 +198,15 @@
 // retryOrFail retries a sub-request after a failed attempt, or fails it if it
 // may not be retried. It does nothing while another attempt may still answer.
 func (e *Engine) retryOrFail(now time.Time, sub *subRequest, kind ResultKind, failure string) {
-	if sub.pending() == 0 && e.mayRetry(now, sub, kind, failure) {
+	if sub.pending() == 0 && e.prepareRetry(now, sub, kind, failure) {
 		e.startOrQueue(now, sub)
 	}
 }
 
-// mayRetry reports whether a sub-request is to be retried after a failed attempt. It
-// fails the sub-request otherwise.
-func (e *Engine) mayRetry(now time.Time, sub *subRequest, kind ResultKind, failure string) bool {
+// prepareRetry takes what a retry after a failed attempt needs from the limits of the
+// query and the budget of the service. It fails the sub-request and returns false if
+// they permit none.
+func (e *Engine) prepareRetry(now time.Time, sub *subRequest, kind ResultKind, failure string) bool {
 	cause := e.noRetryReason(now, sub, kind)
 	if cause != "" {
 		e.emit(LogEvent{Event: LogNoRetry, Request: sub.query.request, Service: sub.service.name, Cause: cause, Count: sub.delivered})
@@ -277,69 +262,6 @@
 	return ""
 }
 
-// startDueHedges starts a second attempt for each sub-request whose first one
-// is late.
-func (e *Engine) startDueHedges(now time.Time, q *query) {
-	e.relayDueHedges(now, q)
-	for _, sub := range q.subRequests {
-		if sub.done || sub.hedgeAt.IsZero() || now.Before(sub.hedgeAt) {
-			continue
-		}
-		needed := e.needsHedge(now, sub)
-		sub.hedgeAt = time.Time{}
-		if !needed {
-			continue
-		}
-		t := e.pickTarget(now, sub, true)
-		if t == nil {
-			e.connectForHedge(now, sub)
-			e.postponeHedge(now, sub, MissingHedgeTarget)
-			continue
-		}
-		if sub.service.overloadControl && (len(sub.service.queue) > 0 || t.hasQueue(now)) {
-			e.postponeHedge(now, sub, MissingHedgeTarget)
-			continue
-		}
-		if !sub.service.budget.TakeHedge() {
-			e.postponeHedge(now, sub, MissingHedgeBudget)
-			continue
-		}
-		e.recordHedge(now, sub, t.reg.ID)
-		e.startAttempt(now, sub, t, true)
-	}
-}
-
-// needsHedge reports whether a hedge of a sub-request is due and allowed.
-func (e *Engine) needsHedge(now time.Time, sub *subRequest) bool {
-	if sub.done || sub.hedgeAt.IsZero() || now.Before(sub.hedgeAt) || !sub.query.route.Idempotent {
-		return false
-	}
-	return sub.pending() == 1 && !sub.hedged && sub.possibleRuns+sub.pending() < sub.query.route.MaxAttempts && !e.tooLateToStart(now, sub.query, 0)
-}
-
-// postponeHedge tries a hedge that could not start again after a while.
-func (e *Engine) postponeHedge(now time.Time, sub *subRequest, denied MissingCause) {
-	sub.hedgeDenied = denied
-	sub.hedgeAt = now.Add(max(e.route(sub.query.route.Name).latency.P50/hedgeRecheckDivisor, minHedgeWait))
-}
-
-// recordHedge records that a sub-request gets a second attempt at a target or VM.
-func (e *Engine) recordHedge(now time.Time, sub *subRequest, at string) {
-	sub.hedged = true
-	sub.query.hedges++
-	first, since := sub.firstAttempt()
-	e.emit(LogEvent{Event: LogHedge, Request: sub.query.request, Service: sub.service.name, Target: at, Cause: first, Duration: now.Sub(since)})
-}
-
-// firstAttempt returns the target or VM that runs the only attempt of a
-// sub-request, and when the attempt began.
-func (sub *subRequest) firstAttempt() (where string, since time.Time) {
-	if r := sub.relay; r != nil {
-		return string(r.vm), r.started
-	}
-	return sub.running[0].target.reg.ID, sub.running[0].started
-}
-
 // detach lets an attempt whose answer is no longer needed run for linger, or
 // abandons it at once if linger is zero.
 func (e *Engine) detach(now time.Time, a *attempt, linger time.Duration) {
--- a/core/serve/estimate.go
+++ b/core/serve/estimate.go
@@ -180,8 +180,7 @@
 	atPace1 := time.Duration(float64(latency) / pace)
 	a.route.latency.Record(latency)
 	a.route.atPace1.Record(atPace1)
-	t.service.recordAttemptTime(latency)
-	t.service.meanAtPace1 = mean(t.service.meanAtPace1, atPace1)
+	t.service.recordAttemptTime(latency, atPace1)
 	t.recordSlowness(now, latency, a.route.atPace1.P50, pace)
 }
 
--- a/core/serve/handoff.go
+++ b/core/serve/handoff.go
@@ -100,7 +100,7 @@
 		return e.hedgeWait(now, q)
 	}
 	typical := min(e.route(q.route.Name).latency.P90, q.route.Objective*hedgeAfterPercent/100)
-	return max(typical, minHedgeWait, q.objective.Sub(now)*hedgeAfterPercent/100)
+	return max(typical, q.leastHedgeWait(now))
 }
 
 // relayDueHedges hedges the due sub-requests that run on another VM by relays to
--- a/core/serve/relayreply.go
+++ b/core/serve/relayreply.go
@@ -105,7 +105,7 @@
 	if f.PossibleRuns > 0 {
 		kind = ConnLost
 	}
-	return e.mayRetry(now, sub, kind, "relayed "+kind.String())
+	return e.prepareRetry(now, sub, kind, "relayed "+kind.String())
 }
 
 // startAgain starts sub-requests that another VM has ended without an answer: on a
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -112,11 +112,10 @@
 	return slices.ContainsFunc(s.targets, func(t *target) bool { return c.includes(now, t) && t.canAccept(now, priority) })
 }
 
-func (s *service) recordAttemptTime(d time.Duration) {
-	if s.meanAttempt == 0 {
-		s.meanAttempt = d
-	}
-	s.meanAttempt += (d - s.meanAttempt) / meanAttemptSamples
+// recordAttemptTime records the latency of an attempt, and that at pace 1.
+func (s *service) recordAttemptTime(latency, atPace1 time.Duration) {
+	s.meanAttempt = mean(s.meanAttempt, latency)
+	s.meanAtPace1 = mean(s.meanAtPace1, atPace1)
 }
 
 // canServe reports whether a target is usable, or is likely to be once its
