--- a/core/serve/conns.go
+++ b/core/serve/conns.go
@@ -15,6 +15,9 @@
 		return
 	}
 	e.maintainAt = now.Add(maintenanceInterval)
+	for _, s := range e.services { // before the targets, which come in no order
+		e.connectForQueued(now, s)
+	}
 	for id, t := range e.targets {
 		e.ensureSpareConn(now, t)
 		e.closeSurplusConn(now, t)
@@ -76,7 +79,7 @@
 // spareConns. It opens one at a time, so that a target that returns is not
 // flooded.
 func (e *Engine) ensureSpareConn(now time.Time, t *target) {
-	if !t.registered(now) || now.Before(t.nextConnectAt) || !e.wantsSpareConns(now, t) {
+	if !t.registered(now) || now.Before(t.nextConnectAt) {
 		return
 	}
 	idle := 0
@@ -88,10 +91,9 @@
 			idle++
 		}
 	}
-	if idle >= spareConns || len(t.conns) >= e.maxConns(t.service) {
-		return
+	if idle < spareConns && len(t.conns) < e.maxConns(t.service) && e.wantsSpareConns(now, t) {
+		e.openConn(now, t)
 	}
-	e.openConn(now, t)
 }
 
 // openConn opens a connection to a target.
@@ -183,6 +185,7 @@
 		}
 	}
 	e.ensureSpareConn(now, t)
+	e.connectForQueued(now, t.service)
 }
 
 // dropConn closes a connection and removes it. The cause is that of the next one.
--- a/core/serve/expect.go
+++ b/core/serve/expect.go
@@ -47,9 +47,9 @@
 	}
 	median := e.route(q.route.Name).atPace1.P50
 	x.attempt, x.unloaded = math.MaxInt64, math.MaxInt64
-	usable, free := false, false
+	usable, free, choice := false, false, s.choice(now)
 	for _, t := range s.targets {
-		if !t.usable(now) || t.backsOff(now) {
+		if !t.usable(now) || t.backsOff(now) || !choice.includes(now, t) {
 			continue
 		}
 		unloaded := t.unloadedTime(now, median)
@@ -68,9 +68,9 @@
 // of it is queued on this VM. It returns false if the service has no target. It does not count
 // the time for which all targets want no requests; backoffLeft does.
 func (e *Engine) expectedWait(now time.Time, s *service, ahead, priority int) (time.Duration, bool) {
-	capacity, full := 0, s.overloadControl
+	capacity, full, choice := 0, s.overloadControl, s.choice(now)
 	for _, t := range s.targets {
-		if t.usable(now) && !t.backsOff(now) {
+		if t.usable(now) && !t.backsOff(now) && (!s.overloadControl || choice.includes(now, t)) {
 			full = full && !t.hasRoom(now, priority)
 			capacity += max(min(t.window.size(), len(t.conns)), 1)
 		}
@@ -90,18 +90,17 @@
 }
 
 // admissionTime returns the time within which a query must be expected to be answered to
-// be admitted.
+// be admitted: until its objective, or until its deadline if that has passed.
 func (e *Engine) admissionTime(now time.Time, q *query, untilDeadline time.Duration) time.Duration {
 	objective := q.objective
-	switch {
-	case e.config.LimitsDemand():
-		if !now.Before(objective) {
+	if !e.config.LimitsDemand() {
+		if q.route.FanOut == nil {
 			return untilDeadline
 		}
-	case q.route.FanOut == nil:
+		objective = objective.Add(q.waited) // a caller that was refused counts it from its next try
+	}
+	if !now.Before(objective) {
 		return untilDeadline
-	default: // a caller that was refused counts the objective from its next try
-		objective = objective.Add(q.waited)
 	}
 	return min(untilDeadline, objective.Sub(now))
 }
@@ -143,7 +142,10 @@
 	}
 	if down+len(late) > maxMissing {
 		slices.Sort(late)
-		wait := late[len(late)-1-(maxMissing-down)] // so many are still late then that may be missing
+		wait := late[len(late)-1]
+		if !e.config.LimitsDemand() {
+			wait = late[len(late)-1-(maxMissing-down)] // so many are still late then that may be missing
+		}
 		return refusal(outcome.CodeOverloaded, addJitter(max(min(max(wait, minRetryAfter), maxRetryAfter), backoff), q.request.Fingerprint),
 			"work waits %v longer than the objective allows at %d of %d services", wait.Round(time.Millisecond), len(late), len(q.subRequests))
 	}
--- a/core/serve/expect_test.go
+++ b/core/serve/expect_test.go
@@ -52,6 +52,35 @@
 	}
 }
 
+// Guards against fan-outs that are refused for want of targets since their objective has
+// passed, or nearly so, when a busy VM has read them.
+func TestFanOutThatIsReadLateIsAdmitted(t *testing.T) {
+	for _, lag := range []time.Duration{85 * time.Millisecond, 95 * time.Millisecond, 300 * time.Millisecond} {
+		h := newHarness(t)
+		id := h.submitWaited(0, lag)
+		assert.Assert(t, h.answers[id] == nil, "%v: refused", lag)
+		assert.Equal(t, len(h.started), fanOutShards)
+	}
+}
+
+// Guards against fan-outs that are admitted since a target is idle that gets no work.
+func TestAdmissionCountsNoAvoidedTargets(t *testing.T) {
+	for name, avoid := range map[string]func(h *harness, t *target){
+		"ejected": func(h *harness, t *target) { t.ejectedUntil = h.now.Add(time.Second) },
+		"leaving": func(h *harness, t *target) { t.lastResortUntil = h.now.Add(time.Second) },
+	} {
+		h := newHarness(t)
+		h.crowd(3, 2, 8)
+		for i := range 3 {
+			idle := h.engine.service(shardName(i)).targets[0]
+			idle.load, idle.sampleAt = Load{}, time.Time{}
+			avoid(h, idle)
+		}
+		id := h.submit("/sweep/x")
+		assert.Assert(t, h.answers[id] != nil && h.answers[id].Refusal != nil, "%s: admitted", name)
+	}
+}
+
 // Guards against refusing single requests that would be late, as a late answer is worth
 // most of one in time, and against admitting those that would wait beyond their deadline.
 func TestSingleRequestsAreAdmittedUpToTheirDeadline(t *testing.T) {
@@ -89,5 +118,24 @@
 	s.recordArrival(h.now, 0)
 	s.recordArrival(h.now, 0)
 	s.recordArrival(h.now, 0)
-	assert.Assert(t, !s.expectsMoreUrgent(h.now, 1))
+	_, urgent := s.mostUrgentArrivals(h.now, 1)
+	assert.Assert(t, !urgent)
+}
+
+// Guards against a retry-after that changed where rates limit the demand: there it is
+// that of the service with the longest wait.
+func TestRetryAfterWhereRatesLimitTheDemand(t *testing.T) {
+	h := newHarness(t)
+	h.config = testConfig(2, testRoutes(), 1000)
+	h.publish()
+	for range 20 {
+		h.submit("/sweep/x")
+		h.openAll()
+	}
+	for i := range 3 { // two may be missing
+		s := h.engine.service(shardName(i))
+		assert.Assert(t, len(s.queue) > 0)
+		s.meanAttempt, s.meanAtPace1 = time.Duration(i*i+1)*time.Second, 0
+	}
+	assert.Assert(t, h.answers[h.submit("/sweep/x")].Refusal.RetryAfter >= maxRetryAfter)
 }
--- a/core/serve/service.go
+++ b/core/serve/service.go
@@ -79,11 +79,18 @@
 
 // startQueued starts queued sub-requests on targets that can accept them.
 func (e *Engine) startQueued(now time.Time, s *service) {
+	if len(s.queue) == 0 {
+		return
+	}
+	choice := s.choice(now)
+	if !s.canStart(now, choice, s.queue[0].query.priority) {
+		return
+	}
 	s.sortQueue(now)
 	for i := 0; i < len(s.queue); {
 		sub := s.queue[i]
-		if !slices.ContainsFunc(s.targets, func(t *target) bool { return t.canAccept(now, sub.query.priority) }) {
-			return // less urgent ones find no place either
+		if !s.canStart(now, choice, sub.query.priority) {
+			return
 		}
 		if e.tooLateToStart(now, sub.query, 0) { // failQueued ends it
 			i++
@@ -99,11 +106,16 @@
 	}
 }
 
-func (s *service) recordAttemptTime(d time.Duration) {
-	if s.meanAttempt == 0 {
-		s.meanAttempt = d
-	}
-	s.meanAttempt += (d - s.meanAttempt) / meanAttemptSamples
+// canStart reports whether a target that attempts go to accepts one of a priority. If
+// none does, none accepts a less urgent one either.
+func (s *service) canStart(now time.Time, c choice, priority int) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool { return c.includes(now, t) && t.canAccept(now, priority) })
+}
+
+// recordAttemptTime records the latency of an attempt, and that at pace 1.
+func (s *service) recordAttemptTime(latency, atPace1 time.Duration) {
+	s.meanAttempt = mean(s.meanAttempt, latency)
+	s.meanAtPace1 = mean(s.meanAtPace1, atPace1)
 }
 
 // canServe reports whether a target is usable, or is likely to be once its
