Refuse callers that press first while work has to be refused

Cause: a caller that repeats a refused request at once, up to three times, has more tries than one that waits as told, and is served more often at the expense of the others.

Change: core/callers keeps, in tables of a fixed 256 KiB, what was admitted for each caller of a route and the waits that callers were told. A second after a refusal for want of capacity at the latest, nothing of it applies. Until then a repeat before the told time is refused at once with the time that is left and counts as three admitted requests; a caller above twice the mean has to leave a quarter of the objective to others, and is refused at once while there is no such room; a retry that waited as told may be expected to be late by 5% of the objective. It applies where there are no workspaces or the workspace has no rate. The caller is the IP address of its connection (a /64 of IPv6).

--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -71,6 +71,7 @@
 		e.finish(now, q, a)
 		return
 	}
+	e.recordAdmitted(now, q)
 	e.relayFarShards(now, q)
 	for _, sub := range q.subRequests {
 		sub.service.budget.Earn()
@@ -101,6 +102,9 @@
 	if e.view.Blocked[r.Fingerprint] || e.crashes.blocked(now, r.Fingerprint) {
 		return refusal(outcome.CodePoisonRequest, 0, "the request crashed targets and is blocked")
 	}
+	if a := e.refuseCaller(now, q); a != nil {
+		return a
+	}
 	e.setDeadlines(now, q)
 	e.addSubRequests(q)
 	if a := e.refuseBeforeStop(now, q); a != nil {
--- /dev/null
+++ b/core/serve/callers_test.go
@@ -0,0 +1,136 @@
+package serve
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/anvilfork/anvilfork/core/callers"
+	"github.com/anvilfork/anvilfork/core/outcome"
+)
+
+const (
+	pressureCallers = 120
+	pressureRate    = 90.0 // queries per second of all callers
+	pressureSeeds   = 20
+)
+
+// pressureModel plays callers at six VMs, of which three in ten press. In the first old
+// VMs the callers have no address, as in builds that do not compare them.
+func pressureModel(seed uint64, old int, moves bool) *model {
+	const shards = 6
+	m := newModel([]float64{1, 1, 1, 1, 1, 1}, shards, 1, modelRoute("wide", 1, shards, 0.95, 300*time.Millisecond, 3*time.Second))
+	m.random = rand.New(rand.NewPCG(seed, 2))
+	m.work["/wide/x"] = 28 * time.Millisecond
+	for i := range pressureCallers {
+		c := &modelCaller{address: fmt.Sprint(i), vm: m.drawVM(), presses: i%10 < 3, moves: moves}
+		m.poisson(pressureRate/pressureCallers, func() {
+			m.send(&modelCall{path: "/wide/x", sent: m.now, firstSent: m.now, objective: 300 * time.Millisecond, timeout: 3 * time.Second, caller: c})
+		})
+	}
+	for _, vm := range m.vms[:old] {
+		vm.old = true
+	}
+	m.run(2 * time.Second)
+	return m
+}
+
+// pressure returns the calls of callers that wait and of those that press in 5.5 s with
+// capacity for 60% of the queries.
+func pressure(old int, moves bool) (waiting, pressing tally) {
+	for seed := range uint64(pressureSeeds) {
+		m := pressureModel(seed, old, moves)
+		for _, t := range m.targets {
+			t.pace = 4 // 54 queries a second
+		}
+		m.ended = nil
+		m.run(5500 * time.Millisecond)
+		all := m.ended
+		for _, n := range []struct {
+			tally   *tally
+			presses bool
+		}{{&waiting, false}, {&pressing, true}} {
+			m.ended = nil
+			for _, c := range all {
+				if c.caller.presses == n.presses {
+					m.ended = append(m.ended, c)
+				}
+			}
+			n.tally.add(m.tally("/wide/x"))
+		}
+	}
+	return waiting, pressing
+}
+
+func (n *tally) add(o tally) {
+	n.calls, n.inTime, n.late, n.refused = n.calls+o.calls, n.inTime+o.inTime, n.late+o.late, n.refused+o.refused
+}
+
+func (n tally) served() int { return n.inTime + n.late }
+
+// Guards against callers that are served more often because they do not wait as told,
+// against fairness that costs answers, and against both in a fleet of which three VMs do
+// not compare callers.
+func TestCallersThatWaitAreServed(t *testing.T) {
+	waitedBefore, pressedBefore := pressure(6, false)
+	for _, old := range []int{0, 3} {
+		waiting, pressing := pressure(old, false)
+		t.Logf("%d old VMs: waiting %+v pressing %+v, before %+v %+v", old, waiting, pressing, waitedBefore, pressedBefore)
+		assert.Assert(t, waiting.share(waiting.inTime) >= waitedBefore.share(waitedBefore.inTime)+0.01*float64(2-old/3))
+		assert.Assert(t, waiting.share(waiting.served()) >= pressing.share(pressing.served()))
+		served, before := waiting.served()+pressing.served(), waitedBefore.served()+pressedBefore.served()
+		assert.Assert(t, float64(served) >= 0.98*float64(before), "%d answers, %d before", served, before)
+	}
+}
+
+// Guards against refusals while there is capacity, also of a caller with many users that
+// sends a third of all queries, and after an overload.
+func TestNoCallerIsRefusedWithoutPressure(t *testing.T) {
+	m := pressureModel(1, 0, false)
+	nat := &modelCaller{address: "nat", presses: true, moves: true}
+	m.poisson(pressureRate/2, func() {
+		m.send(&modelCall{path: "/wide/x", sent: m.now, firstSent: m.now, objective: 300 * time.Millisecond, timeout: 3 * time.Second, caller: nat})
+	})
+	for _, pace := range []float64{1, 4, 1} {
+		for _, t := range m.targets {
+			t.pace = pace
+		}
+		m.run(4 * time.Second)
+	}
+	for _, vm := range m.vms {
+		assert.Equal(t, vm.unprovoked, 0)
+	}
+}
+
+// Guards against restrictions in a workspace with a rate and on public routes beside
+// workspaces, which were served without them, and against an early repeat that is sent
+// or charged.
+func TestCallersAreComparedWithoutARateOnly(t *testing.T) {
+	for _, c := range []struct {
+		rate     float64
+		public   bool
+		caller   string
+		refusals bool
+	}{{0, false, "a", true}, {50, false, "a", false}, {0, true, "a", false}, {0, false, "", false}} {
+		h := newHarness(t)
+		routes := testRoutes()
+		routes[0].Public = c.public
+		h.config = testConfig(2, routes, c.rate)
+		h.publish()
+		key := callers.NewCaller("a", "sweep", c.caller)
+		h.engine.callers.Overloaded(h.now, key)
+		h.engine.callers.Told(h.now, key, 7, 400*time.Millisecond)
+		h.step(Submit{Request: &Request{ID: 1, Host: "h", Path: "/sweep/x", Key: testKey, Fingerprint: 7, Caller: c.caller}})
+		if !c.refusals {
+			assert.Assert(t, h.answers[1] == nil && len(h.started) > 0, "%+v", c)
+			continue
+		}
+		a := h.answers[1]
+		assert.Assert(t, a != nil && len(h.started) == 0, "%+v", c)
+		assert.Assert(t, a.Refusal.Outcome == outcome.NotRun && a.Refusal.RetryAfter == 400*time.Millisecond, "%+v", a.Refusal)
+		assert.Equal(t, a.Trace.Caller.Refusal, callers.EarlyRepeat)
+	}
+}
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/anvilfork/anvilfork/core/callers"
 	"github.com/anvilfork/anvilfork/core/catalog"
 	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/latency"
@@ -49,6 +50,7 @@
 	routes            map[string]*routeState     // by name
 	workspaces        map[string]*workspaceState // by name
 	crashes           crashes
+	callers           *callers.Ledger
 	deliveryLag       deliveryLag
 	relays            map[RelayID]*relay
 	relayBlockedUntil map[fleet.VMID]time.Time // until when nothing is relayed to a VM
@@ -86,7 +88,7 @@
 		services: make(map[string]*service), targets: make(map[string]*target), notices: make(processNotices),
 		queries: make(map[RequestID]*query), attempts: make(map[AttemptID]*attempt),
 		conns: make(map[ConnID]*conn), routes: make(map[string]*routeState),
-		workspaces: make(map[string]*workspaceState), crashes: newCrashes(),
+		workspaces: make(map[string]*workspaceState), crashes: newCrashes(), callers: callers.New(now),
 		relays: make(map[RelayID]*relay), relayBlockedUntil: make(map[fleet.VMID]time.Time),
 	}
 }
--- a/core/serve/expect.go
+++ b/core/serve/expect.go
@@ -117,7 +117,9 @@
 	untilDeadline := q.deadline.Sub(now)
 	untilObjective := e.admissionTime(now, q, untilDeadline)
 	down := 0
-	var late []time.Duration // by how much services are expected to be late
+	var late []time.Duration // by how much services are expected to be later than the query may be
+	trulyLate := 0           // services expected to be late
+	margin := q.callerMargin(untilObjective)
 	var backoff time.Duration
 	for _, sub := range q.subRequests {
 		b := sub.service.backoffLeft(now)
@@ -128,8 +130,11 @@
 		case b > untilObjective:
 			down++
 			backoff = max(backoff, b)
-		case x.crowded && by > 0:
-			late = append(late, by)
+		case x.crowded && by+margin > 0:
+			late = append(late, by+margin)
+			if by > 0 {
+				trulyLate++
+			}
 		}
 	}
 	maxMissing := len(q.subRequests) - q.minAnswered
@@ -146,7 +151,11 @@
 		if !e.config.LimitsDemand() {
 			wait = late[len(late)-1-(maxMissing-down)] // so many are still late then that may be missing
 		}
-		return refusal(outcome.CodeOverloaded, addJitter(max(min(max(wait, minRetryAfter), maxRetryAfter), backoff), q.request.Fingerprint),
+		after := addJitter(max(min(max(wait, minRetryAfter), maxRetryAfter), backoff), q.request.Fingerprint)
+		if down+trulyLate <= maxMissing {
+			return q.refuseOverShare(after)
+		}
+		return refusal(outcome.CodeOverloaded, after,
 			"work waits %v longer than the objective allows at %d of %d services", wait.Round(time.Millisecond), len(late), len(q.subRequests))
 	}
 	return nil
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/anvilfork/anvilfork/core/callers"
 	"github.com/anvilfork/anvilfork/core/catalog"
 	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mesh"
@@ -34,6 +35,7 @@
 	Host            string
 	Path            string
 	Key             string
+	Caller          string        // IP address that the request came from, without port; empty if unknown
 	Timeout         time.Duration // how long the caller waits; zero if it sends no timeout
 	Fingerprint     uint64        // hash of the content, equal for requests with equal content
 	Received        time.Time     // when the VM began to read it; zero if unknown
@@ -88,6 +90,7 @@
 	MissingShards     []string
 	MissingCauses     []MissingCause // of MissingShards, in their order; nil for a refusal
 	EndedEarly        bool           // answered without the late shards, as the objective was near
+	Caller            callers.Verdict
 }
 
 // ResultKind classifies the end of an attempt.
--- a/core/serve/overload_test.go
+++ b/core/serve/overload_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/anvilfork/anvilfork/core/callers"
 	"github.com/anvilfork/anvilfork/core/catalog"
 	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mesh"
@@ -39,7 +40,11 @@
 	engine *Engine
 	jobs   map[ConnID]*modelJob
 	weight float64
-	done   int // answered attempts
+	old    bool // does not know the addresses of callers
+	done   int  // answered attempts
+
+	overloadedAt time.Time // last refusal for want of capacity
+	unprovoked   int       // refusals for the caller's sake more than a second later
 }
 
 // modelTarget serves slots requests at once, first come first served.
@@ -64,8 +69,21 @@
 	objective, timeout           time.Duration
 	refusals                     int
 	refusedLate, merged, partial bool
+	caller                       *modelCaller // nil if the caller has no address
+	fingerprint                  uint64
+}
+
+// modelCaller is a caller that keeps its connection to a VM or, if it moves, opens a new
+// one for each request. One that presses ignores the time that it is told.
+type modelCaller struct {
+	address        string
+	vm             *modelVM
+	presses, moves bool
 }
 
+// pressRetries is how often callers that press retry, others do so once.
+const pressRetries = 3
+
 type modelEvent struct {
 	at  time.Time
 	seq int
@@ -161,11 +179,22 @@
 			vm.jobs[a.Conn] = job
 			m.after(modelLink, func() { m.arrive(job) })
 		case Respond:
+			vm.recordRefusal(m.now, a.Answer)
 			m.respond(a)
 		}
 	}
 }
 
+func (vm *modelVM) recordRefusal(now time.Time, a *Answer) {
+	switch {
+	case a.Refusal == nil || a.Refusal.Code != outcome.CodeOverloaded:
+	case a.Trace.Caller.Refusal == callers.None:
+		vm.overloadedAt = now
+	case now.Sub(vm.overloadedAt) > time.Second:
+		vm.unprovoked++
+	}
+}
+
 func (m *model) arrive(job *modelJob) {
 	t := job.target
 	switch {
@@ -233,23 +262,38 @@
 }
 
 func (m *model) send(c *modelCall) {
+	vm := m.drawVM()
+	c.sent = m.now
+	m.ids++
+	if c.fingerprint == 0 {
+		c.fingerprint = m.random.Uint64()
+	}
+	r := &Request{ID: m.ids, Host: "h", Path: c.path, Timeout: c.timeout - m.now.Sub(c.firstSent), Fingerprint: c.fingerprint}
+	if c.caller != nil {
+		if !c.caller.moves {
+			vm = c.caller.vm
+		}
+		if !vm.old {
+			r.Caller = c.caller.address
+		}
+	}
+	m.calls[r.ID] = c
+	m.step(vm, Submit{Request: r})
+}
+
+// drawVM draws a VM by weight.
+func (m *model) drawVM() *modelVM {
 	total := 0.0
 	for _, vm := range m.vms {
 		total += vm.weight
 	}
 	drawn := m.random.Float64() * total
-	vm := m.vms[len(m.vms)-1]
 	for _, v := range m.vms {
 		if drawn -= v.weight; drawn < 0 {
-			vm = v
-			break
+			return v
 		}
 	}
-	c.sent = m.now
-	m.ids++
-	r := &Request{ID: m.ids, Host: "h", Path: c.path, Timeout: c.timeout - m.now.Sub(c.firstSent), Fingerprint: m.random.Uint64()}
-	m.calls[r.ID] = c
-	m.step(vm, Submit{Request: r})
+	return m.vms[len(m.vms)-1]
 }
 
 // respond ends a call, or retries it once after the time that a refusal states.
@@ -265,6 +309,10 @@
 	c.refusals++
 	left := c.timeout - m.now.Sub(c.firstSent)
 	c.refusedLate = c.refusedLate || m.now.Sub(c.sent) > c.objective/4
+	if c.caller != nil && c.caller.presses && c.refusals <= pressRetries {
+		m.after(2*modelLink, func() { m.send(c) })
+		return
+	}
 	if r.Outcome == outcome.NotRun && c.refusals == 1 && r.RetryAfter > 0 && r.RetryAfter <= left/3 {
 		m.after(r.RetryAfter, func() { m.send(c) })
 		return
--- a/core/serve/query.go
+++ b/core/serve/query.go
@@ -32,6 +32,7 @@
 	waited       time.Duration // that the caller seems to have spent on earlier tries
 	admissionLag time.Duration // from arrived to the admission
 	copyAge      time.Duration // age of the copy of the store at the admission
+	caller       *callerCheck  // nil if callers are not compared
 	objective    time.Time     // time from which an answer is sent without the late sub-requests
 	deadline     time.Time
 	orderBy      time.Time // its objective, by which it is ordered in queues; see urgency
@@ -290,6 +291,7 @@
 	t.CopyAge, t.Priority, t.Duration = q.copyAge, q.priority, now.Sub(q.arrived)
 	t.Attempts, t.Hedges, t.Retries, t.CrossZoneAttempts, t.Shards = q.attempts, q.hedges, q.retries, q.crossZone, len(q.subRequests)
 	t.QueueWait = q.queueWait
+	e.recordCallerAnswer(now, q, a)
 	t.Relayed, t.RelayedTo = q.relayed, q.relayedTo
 	for _, sub := range q.subRequests {
 		if !sub.succeeded() {
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/anvilfork/anvilfork/core/callers"
 	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mesh"
 	"github.com/anvilfork/anvilfork/core/serve"
@@ -198,6 +199,7 @@
 	q := metrics.Query{
 		Service: tr.Route, Workspace: tr.Workspace, Duration: tr.Duration, Coverage: 1,
 		Shards: tr.Shards, Attempts: tr.Attempts, Hedges: tr.Hedges, Refusal: a.Refusal, MissingCauses: causeNames(tr.MissingCauses),
+		CallerRefusal: tr.Caller.Refusal.String(),
 	}
 	if a.Merged != nil && tr.Shards > 0 {
 		q.Coverage = 1 - float64(a.Merged.MissingShards)/float64(tr.Shards)
@@ -228,6 +230,10 @@
 	if tr.Relayed > 0 {
 		line = line.Int("relayed_shards", tr.Relayed).Str("relayed_to", joinVMs(tr.RelayedTo))
 	}
+	if v := tr.Caller; v.Standing != callers.Fair || v.Refusal != callers.None {
+		line = line.Str("caller", r.Caller).Str("standing", v.Standing.String()).Str("caller_refusal", v.Refusal.String()).
+			Float64("caller_measure", v.Measure).Float64("mean_measure", v.Mean)
+	}
 	if tr.FromPool {
 		line = line.Bool("from_pool", true)
 	}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -188,7 +188,7 @@
 		f.refuse(conn, w, r, req, refusal)
 		return
 	}
-	req.Received = received
+	req.Received, req.Caller = received, callerAddress(r.RemoteAddr)
 	answer := make(chan *serve.Answer, 1)
 	f.engine <- engineMsg{submitted: &submission{request: req, answer: answer}}
 	callerGone := r.Context().Done()
--- a/metrics/expose.go
+++ b/metrics/expose.go
@@ -37,6 +37,7 @@
 	"coverage_ratio":                 "Groups answered of the groups of a query.",
 	"missing_shards_total":           "Shards that answers to fan-outs lack, by cause.",
 	"connections_opened_total":       "Connections to targets that this VM opened, by cause.",
+	"caller_refusals_total":          "Requests refused because of how much their caller sends, by cause.",
 	"workspace_answered_ratio":       "Queries answered in the last minute, of those not refused for a reason on the caller's side.",
 	"workspace_offered_per_second":   "Queries that a workspace sent to this VM in the last minute, refused ones included.",
 	"worst_workspace_answered_ratio": "Smallest workspace_answered_ratio; 1 without queries.",
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -85,6 +85,7 @@
 	Refusal   *outcome.Refusal // nil when the query was answered
 
 	MissingCauses []string // cause of each shard that the answer lacks, where it is known
+	CallerRefusal string   // why it was refused for its caller's sake; empty if it was not
 }
 
 // Record adds a query that finished at now.
@@ -104,6 +105,9 @@
 	if q.Refusal != nil {
 		l.Code = string(q.Refusal.Code)
 		r.counter("refusals_total", l).Inc(1)
+		if q.CallerRefusal != "" {
+			r.counter("caller_refusals_total", Labels{Service: q.Service, Workspace: q.Workspace, Cause: q.CallerRefusal}).Inc(1)
+		}
 		if !causedByCaller(q.Refusal.Code) {
 			r.counter("refusals_inside_rate_total", l).Inc(1)
 		}
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -98,7 +98,9 @@
 	partial := answeredQuery("a")
 	partial.Coverage, partial.MissingCauses = 0.5, []string{"late"}
 	r.Record(epoch, partial)
-	r.Record(epoch, refusedQuery("a", outcome.CodeNoHome))
+	refused := refusedQuery("a", outcome.CodeNoHome)
+	refused.CallerRefusal = "over_share"
+	r.Record(epoch, refused)
 	r.RecordConnection("spare")
 	r.RecordFailedAttempt("a", "unreadable")
 	r.Refresh(epoch)
