Tell the VMs with callers of callers that press

Cause: callers that go to another VM with each request were served about as often when they pressed as when they waited: a VM recognizes only the repeats of requests that it has refused itself, and sees one sixth of them.

Change: VMs report callers with early repeats (hash and cost, 14 bytes each, at most 128) in their heartbeats to hubs, replies to active VMs hold those of all, and the engine uses the larger cost of the own one and the told one. Reports are used for 2 s. The fields are optional: old builds neither send nor read them. core/callers and core/mesh share one type.

--- a/core/callers/callers.go
+++ b/core/callers/callers.go
@@ -94,6 +94,10 @@
 	shares shareTable
 	waits  waitTable
 	groups map[uint64]*group
+
+	repeatedAt time.Duration      // last early repeat
+	told       map[uint64]float64 // by id of the caller: cost of early repeats at other VMs
+	toldAt     time.Duration
 }
 
 // maxGroups bounds the groups that are kept. Only groups of the configuration that had
@@ -132,6 +136,7 @@
 	if left := w.until - at; left > earlyTolerance {
 		s := l.shares.entry(at, c)
 		s.pressed = min(s.pressed+repeatCost, maxPressed)
+		l.repeatedAt = at
 		return Verdict{Refusal: EarlyRepeat, RetryAfter: left, Measure: s.measure(), Mean: g.mean}
 	}
 	*w = wait{} // one retry is preferred
@@ -141,13 +146,13 @@
 // judgeShare decides about a request that is no early repeat. A caller over its share
 // that has waited as told is treated like others.
 func (l *Ledger) judgeShare(at time.Duration, g *group, c Caller, waited bool) Verdict {
-	v := Verdict{Mean: l.meanOf(at, g, c.group)}
-	isOver, hasFloor := false, true
+	v := Verdict{Mean: l.meanOf(at, g, c.group), Measure: l.toldCost(at, c)}
+	hasFloor := true
 	if s := l.shares.find(at, c); s != nil {
-		v.Measure = s.measure()
-		isOver = v.Measure > max(shareMultiple*v.Mean, 1)
+		v.Measure = s.admitted + max(s.pressed, v.Measure)
 		hasFloor = s.admitted == 0 || at-s.admittedAt >= floorInterval
 	}
+	isOver := v.Measure > max(shareMultiple*v.Mean, 1)
 	switch {
 	case waited && !isOver:
 		v.Standing = Waited
--- a/core/callers/callers_test.go
+++ b/core/callers/callers_test.go
@@ -33,6 +33,28 @@
 	assert.Equal(t, l.Judge(at(1002), a, 1), Verdict{}, "the pressure is over")
 }
 
+// Guards against a caller that presses unnoticed at several VMs in turn, and against
+// false reports that restrict it for long.
+func TestPressingAtOtherVMs(t *testing.T) {
+	here, there, c := New(epoch), New(epoch), newCaller("a")
+	there.Overloaded(epoch, c)
+	there.Told(epoch, c, 1, time.Second)
+	there.Judge(epoch, c, 1)
+	assert.DeepEqual(t, there.Pressing(epoch), []Pressing{{ID: c.id, Cost: repeatCost}})
+	here.SetPressing(epoch, there.Pressing(epoch))
+	assert.Equal(t, here.Judge(epoch, c, 1), Verdict{}, "this VM has capacity")
+	here.Overloaded(epoch, c)
+	assert.Equal(t, here.Judge(epoch, c, 1).Standing, OverShare)
+	assert.Equal(t, len(here.Pressing(epoch)), 0, "it is told on by the VM that has seen it only")
+	here.SetPressing(epoch, []Pressing{{ID: c.id, Cost: 1e12}})
+	now := epoch.Add(8 * time.Second)
+	here.Overloaded(now, c)
+	assert.Equal(t, here.Judge(now, c, 1).Standing, Fair)
+	assert.Equal(t, len(there.Pressing(now)), 0)
+	here.SetPressing(now, nil) // of an old build
+	assert.Equal(t, here.Judge(now, c, 1).Measure, 0.0)
+}
+
 // Guards against a caller with many users that is held to the mean although there is
 // room, and against one that is kept out.
 func TestCallersOverTheirShare(t *testing.T) {
--- a/core/callers/table.go
+++ b/core/callers/table.go
@@ -1,9 +1,6 @@
 package callers
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Both tables consist of sets of a few entries. The hash of an entry names its set, and
 // an entry that finds its set full replaces the least one of it, so that the time for
@@ -33,7 +30,7 @@
 
 func (s *share) decay(at time.Duration) {
 	if age := at - s.at; age > 0 {
-		f := math.Exp2(-age.Seconds() / halfLife.Seconds())
+		f := decayed(age)
 		s.admitted, s.pressed, s.at = s.admitted*f, s.pressed*f, at
 	}
 }
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -130,7 +130,7 @@
 
 // heartbeatRequest returns the heartbeat to send to an address.
 func (m *Machine) heartbeatRequest(addr string) *HeartbeatRequest {
-	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), StoreEra: m.storeCopy.Version().Era, StatesEra: true, PastKnown: m.storeCopy.Known(), Demand: m.localDemand, Crashes: m.localCrashes, TimeoutsSum: m.timeouts.sum}
+	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), StoreEra: m.storeCopy.Version().Era, StatesEra: true, PastKnown: m.storeCopy.Known(), Demand: m.localDemand, Crashes: m.localCrashes, TimeoutsSum: m.timeouts.sum, Pressing: m.localPressing}
 	if c := m.heartbeats[addr]; c != nil && c.answered && c.hubSum != m.timeouts.sum {
 		r.Timeouts = m.timeouts.list()
 	}
@@ -159,6 +159,7 @@
 		}
 		peer.lastHeartbeat, peer.interval = now, interval
 		peer.crashes = ev.Request.Crashes
+		m.setPressing(&peer.pressing, ev.Request.Pressing)
 		m.mergeTimeouts(ev.Request.Timeouts)
 		m.peerDemands[peer.node.ID] = peerDemand{demand: ev.Request.Demand, receivedAt: now, ttl: shareTTL(interval)}
 	}
@@ -169,7 +170,7 @@
 // heartbeatReply returns the reply to a heartbeat, with the changes that its
 // sender lacks.
 func (m *Machine) heartbeatReply(now time.Time, r *HeartbeatRequest) *HeartbeatReply {
-	reply := &HeartbeatReply{From: m.self, FleetDemand: m.demandFor(now, r), Blocked: m.blockedFingerprints(), CopyAge: -1, RegainedAge: m.regainedAge(now), TimeoutsSum: m.timeouts.sum}
+	reply := &HeartbeatReply{From: m.self, FleetDemand: m.demandFor(now, r), Blocked: m.blockedFingerprints(), CopyAge: -1, RegainedAge: m.regainedAge(now), TimeoutsSum: m.timeouts.sum, Pressing: m.pressingFor(now, r.From.ID)}
 	if r.TimeoutsSum != m.timeouts.sum {
 		reply.Timeouts = m.timeouts.list()
 	}
@@ -257,6 +258,7 @@
 	}
 	m.mergeTimeouts(reply.Timeouts)
 	hub.blocked, hub.reportedAt = reply.Blocked, now
+	m.setPressing(&hub.toldPressing, reply.Pressing)
 	demand.totals = reply.FleetDemand
 	m.hubDemands[hub.node.ID] = demand
 	m.learnRegained(ev.Sent, reply.RegainedAge)
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/anvilfork/anvilfork/core/callers"
 	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mirror"
 )
@@ -76,6 +77,8 @@
 	interval      time.Duration // announced heartbeat interval; zero when it sends none to this VM
 	listed        bool          // reported to other VMs, since it sends heartbeats to this one
 	crashes       []Crash
+	pressing      []callers.Pressing  // in its last heartbeat to this VM
+	toldPressing  []callers.Pressing  // in its last reply to this VM
 	failingAt     time.Time           // when this VM learned of node.StoreFailing
 	suspectUntil  time.Time           // not chosen as a hub before this time
 	gone          bool                // removed at the next expiry unless it is seen later
@@ -124,6 +127,7 @@
 	localDemand       []WorkspaceDemand
 	prevLocalDemand   []WorkspaceDemand // the report before localDemand
 	localCrashes      []Crash
+	localPressing     []callers.Pressing
 	peerDemands       map[fleet.VMID]peerDemand // of VMs that send heartbeats to this one
 	hubDemands        map[fleet.VMID]hubDemand  // as reported by hubs
 	unresponsiveSince map[fleet.VMID]time.Time  // when VMs became unresponsive
@@ -145,6 +149,7 @@
 	removals          []removal
 	forgottenSeq      uint64        // change number up to which removals were dropped
 	maxActive         int           // maximum number of VMs that callers are sent to
+	active            []Node        // View.Active of the last view
 	activeCount       int           // number of active VMs in the last view
 	isActive          bool          // this VM is active in the last view
 	wasBusy           bool          // result of isBusy in the last step
@@ -192,6 +197,7 @@
 		m.handleForwardFailed(now, ev)
 	case LocalDemand:
 		m.prevLocalDemand, m.localDemand, m.localCrashes = m.localDemand, ev.Demand, ev.Crashes
+		m.localPressing = mergePressing(ev.Pressing)
 		m.mergeTimeouts(ev.Timeouts)
 	case Stopping:
 		m.self.Phase = Leaving
@@ -212,7 +218,7 @@
 	if m.viewDirty {
 		m.viewDirty = false
 		v := m.buildView(now)
-		m.activeCount, m.isActive = len(v.Active), v.IsActive()
+		m.active, m.activeCount, m.isActive = v.Active, len(v.Active), v.IsActive()
 		m.emit(ViewChanged{View: v})
 	}
 	m.sendHeartbeats(now)
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -15,6 +15,7 @@
 import (
 	"time"
 
+	"github.com/anvilfork/anvilfork/core/callers"
 	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mirror"
 )
@@ -73,6 +74,7 @@
 	Crashes       []Crash
 	TimeoutsSum   uint64         // checksum of the timeouts that the sender knows; zero for none
 	Timeouts      []RouteTimeout // all that the sender knows, if the receiver is known to know others
+	Pressing      []callers.Pressing
 }
 
 // HeartbeatReply is the reply to a heartbeat, with the changes that the sender of
@@ -96,6 +98,7 @@
 	Blocked     []uint64          // fingerprints of requests that crash targets
 	TimeoutsSum uint64            // checksum of the timeouts that the hub knows
 	Timeouts    []RouteTimeout    // all that the hub knows, if the sender of the heartbeat knows others
+	Pressing    []callers.Pressing
 }
 
 // Event is an input of a Machine.
@@ -144,6 +147,7 @@
 	Demand   []WorkspaceDemand
 	Crashes  []Crash
 	Timeouts []RouteTimeout // of this VM's callers
+	Pressing []callers.Pressing
 }
 
 // Stopping reports that this VM is shutting down.
@@ -262,6 +266,7 @@
 	Reader    bool              // this VM reads the store for the others
 	Hubs      []fleet.VMID
 	Timeouts  map[string]time.Duration // longest time that callers wait, by route
+	Pressing  []callers.Pressing       // callers that press, also at other VMs
 	Store     StoreState
 }
 
--- a/core/mesh/view.go
+++ b/core/mesh/view.go
@@ -34,7 +34,8 @@
 	v := &View{
 		Self: m.self, Nodes: m.reachableNodes(now), Confirmed: m.storeCopy.ConfirmedAt(),
 		Blocked: make(map[uint64]bool), Reader: m.isReader(), Timeouts: m.timeouts.longest,
-		Store: StoreState{Era: m.storeCopy.Version().Era, Rewinds: m.storeCopy.Rewinds(), Ignored: m.eras.ignored, Kept: m.storeCopy.Kept()},
+		Store:    StoreState{Era: m.storeCopy.Version().Era, Rewinds: m.storeCopy.Rewinds(), Ignored: m.eras.ignored, Kept: m.storeCopy.Kept()},
+		Pressing: m.allPressing(now),
 	}
 	v.Active = selectActive(v.Nodes, m.maxActive)
 	v.Sharers = len(v.Active)
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -174,7 +174,7 @@
 		return
 	}
 	e.reportAt = now.Add(reportInterval)
-	r := Report{Crashes: e.crashes.list(now)}
+	r := Report{Crashes: e.crashes.list(now), Pressing: e.callers.Pressing(now)}
 	for name, ws := range e.workspaces {
 		rate := ws.demand.perSecond(now)
 		if rate > minReportedDemand {
@@ -212,6 +212,7 @@
 		}
 	}
 	e.divideQuotas(now)
+	e.callers.SetPressing(now, v.Pressing)
 }
 
 // sharers returns the number of VMs that share limits, at least one.
--- a/core/serve/messages.go
+++ b/core/serve/messages.go
@@ -303,6 +303,7 @@
 	Demand   []mesh.WorkspaceDemand
 	Crashes  []mesh.Crash
 	Timeouts []mesh.RouteTimeout // longer ones than the fleet is known to have
+	Pressing []callers.Pressing
 }
 
 func (OpenConn) action()       {}
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -188,7 +188,7 @@
 // task is behind and its inbox is full, since the next one follows soon.
 func (t *engineTask) reportDemand(r serve.Report) {
 	select {
-	case t.control <- mesh.LocalDemand{Demand: r.Demand, Crashes: r.Crashes, Timeouts: r.Timeouts}:
+	case t.control <- mesh.LocalDemand{Demand: r.Demand, Crashes: r.Crashes, Timeouts: r.Timeouts, Pressing: r.Pressing}:
 	default:
 		t.log.Warn().Str("event", "demand_not_reported").Str("reason", "the control task's inbox is full").Msg("demand was not reported")
 	}
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -88,7 +88,7 @@
 	m := &peer.MeshRequest{
 		From: encodeNode(r.From), EveryMs: uint32(r.Interval.Milliseconds()), AsOf: r.StoreRevision,
 		NodesSeq: r.NodesSeq, NodesOf: r.NodesEpoch, ReadsPacked: true, Offered: encodeOffered(r.Demand),
-		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
+		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts), Pressing: encodePressing(r.Pressing),
 		Era: encodeEra(r.StatesEra, r.StoreEra), PastKnown: encodeKnown(r.PastKnown),
 	}
 	for _, c := range r.Crashes {
@@ -100,7 +100,7 @@
 func decodeRequest(m *peer.MeshRequest) *mesh.HeartbeatRequest {
 	r := &mesh.HeartbeatRequest{
 		From: decodeNode(m.GetFrom()), Interval: time.Duration(m.GetEveryMs()) * time.Millisecond, StoreRevision: m.GetAsOf(), NodesSeq: m.GetNodesSeq(), NodesEpoch: m.GetNodesOf(), Demand: decodeOffered(m.GetOffered()),
-		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
+		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()), Pressing: decodePressing(m.GetPressing()),
 		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastKnown: decodeKnown(m.GetPastKnown()),
 	}
 	for _, c := range m.GetCrashes() {
@@ -137,7 +137,7 @@
 	m := &peer.MeshReply{
 		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), RegainedAgeUs: encodeAge(r.RegainedAge), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull, Fleet: uint32(r.FleetSize),
 		Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand), Blocked: r.Blocked,
-		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts),
+		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts), Pressing: encodePressing(r.Pressing),
 		Era: encodeEra(r.StatesEra, r.StoreEra), PastKnown: encodeKnown(r.PastKnown),
 	}
 	if r.CopyAge < 0 {
@@ -253,7 +253,7 @@
 		From: decodeNode(m.GetFrom()), CopyAge: time.Duration(m.GetAgeUs()) * time.Microsecond,
 		RegainedAge: decodeAge(m.GetRegainedAgeUs()), NodesSeq: m.GetNodesSeq(),
 		NodesFull: m.GetNodesWhole(), FleetSize: int(m.GetFleet()), FleetDemand: decodeOffered(m.GetTotals()), Blocked: m.GetBlocked(),
-		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()),
+		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()), Pressing: decodePressing(m.GetPressing()),
 		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastKnown: decodeKnown(m.GetPastKnown()),
 	}
 	r.Nodes, r.Hubs = decodeNodes(m.GetNodes()), decodeNodes(m.GetHubs())
