Detect a rewind by writes that a copy without an era lacks

Cause: a listing that told the era of a copy from an older build counted as its continuation although it had entries of up to the copy's revision that the copy lacked, or had of an earlier revision. As the copy skips entries of up to its revision, they were never taken, and the incomplete copy was confirmed.

Change: Mirror.Continues takes such an entry as a sign of a rewind.

Result: the cases 'unknown write' and 'unknown entry' of TestEraOfACopyBecomesKnown failed before.

--- a/core/mirror/rewind.go
+++ b/core/mirror/rewind.go
@@ -59,14 +59,20 @@
 func (m *Mirror) Known() Known { return m.known }
 
 // Continues reports whether a full update tells the era of a copy whose era was not
-// known, without a sign of a rewind: it has all entries, and none of an earlier revision.
+// known, without a sign of a rewind: it has all entries, none of an earlier revision, and
+// none of up to the copy's revision that the copy lacks. Values of the same revision may
+// differ, as a target's heartbeat may change its number alone.
 func (m *Mirror) Continues(u *Update) bool {
 	if m.version.IsZero() || m.version.Era > 0 || u.Era == 0 || !u.Full || u.Revision < m.version.Revision {
 		return false
 	}
 	same := 0
 	for _, e := range u.Entries {
-		if mine, held := m.entries[e.Key]; held && !e.Deleted && e.Revision >= mine.Revision {
+		mine, held := m.entries[e.Key]
+		switch {
+		case e.Revision <= m.version.Revision && !(held && e.Revision == mine.Revision):
+			return false
+		case held && !e.Deleted && e.Revision >= mine.Revision:
 			same++
 		}
 	}
--- a/core/mirror/rewind_test.go
+++ b/core/mirror/rewind_test.go
@@ -97,7 +97,7 @@
 // Guards against a rolling restart that counts as a rewind, as VMs of an older build pass
 // on copies without an era, and against a rewind that counts as none.
 func TestEraOfACopyBecomesKnown(t *testing.T) {
-	rev := map[string]uint64{"a=1": 20, "b=1": 25, "a=0": 9}
+	rev := map[string]uint64{"a=1": 20, "b=1": 25, "a=0": 9, "b=2": 25, "b=3": 28, "c=1": 28}
 	for name, c := range map[string]struct {
 		update  Update
 		rewinds int
@@ -106,6 +106,9 @@
 		"earlier entry":   {Update{Era: 4, Revision: 40, Entries: entriesOf(rev, "a=0", "b=1")}, 1},
 		"lost entry":      {Update{Era: 4, Revision: 40, Entries: entriesOf(rev, "b=1")}, 1},
 		"lower revision":  {Update{Era: 4, Revision: 29, Entries: entriesOf(rev, "a=1", "b=1")}, 1},
+		"other number":    {Update{Era: 4, Revision: 40, Entries: entriesOf(rev, "a=1", "b=2")}, 0},
+		"unknown write":   {Update{Era: 4, Revision: 40, Entries: entriesOf(rev, "a=1", "b=3")}, 1},
+		"unknown entry":   {Update{Era: 4, Revision: 40, Entries: entriesOf(rev, "a=1", "b=1", "c=1")}, 1},
 		"no era, as ever": {Update{Era: 0, Revision: 29, Entries: entriesOf(rev, "a=1", "b=1")}, 0},
 	} {
 		m := New(keepAll)
