Share the update with all entries between VMs of any version

Cause: Mirror.Since kept its result for one version. After a rewind all VMs get all entries, and where targets write often each VM has another version of the earlier era, so that a hub built, sorted and compressed all entries for each heartbeat.

Change: the result with all entries is kept whatever version asks for it.

Result: TestFullUpdateIsSharedByVersions failed before. Its cost was not measured.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -181,11 +181,14 @@
 	if !v.Before(m.version) {
 		return nil
 	}
+	full := v.IsZero() || v.Era != m.version.Era || v.Before(m.dropped)
+	if full {
+		v = Version{} // all entries are the same update for every version
+	}
 	if m.lastUpdate != nil && m.lastUpdate.Version() == m.version && m.lastUpdate.EraStart == m.eraStart && m.lastSince == v {
 		return m.lastUpdate
 	}
-	u := &Update{Era: m.version.Era, Revision: m.version.Revision, EraStart: m.eraStart}
-	u.Full = v.IsZero() || v.Era != m.version.Era || v.Before(m.dropped)
+	u := &Update{Era: m.version.Era, Revision: m.version.Revision, EraStart: m.eraStart, Full: full}
 	for _, e := range m.entries {
 		if u.Full || e.Revision > v.Revision {
 			u.Entries = append(u.Entries, e)
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -76,3 +76,12 @@
 		}
 	})
 }
+
+// Guards against a hub that builds and compresses all entries again for each VM after a
+// rewind, as each has another version of the earlier era.
+func TestFullUpdateIsSharedByVersions(t *testing.T) {
+	var m Mirror
+	m.Apply(&Update{Full: true, Era: 2, Revision: 30})
+	assert.Assert(t, m.Since(Version{Era: 1, Revision: 40}) == m.Since(Version{Era: 1, Revision: 41}))
+	assert.Assert(t, m.Since(Version{}) == m.Since(Version{Era: 2, Revision: 29}))
+}
