Take a new entry under a reused revision for no removed one

Cause: after a rewind, an entry that the copy lacked and whose revision was not above the copy's counted as one that had been removed, also if a target registered for the first time in the new era before it was listed. The target stayed out until its entry changed, which a heartbeat that changes nothing but its number does not do.

Change: such an entry counts as removed only if the copy has its tombstone, or may have dropped it.

Result: TestNewEntryOfTheNewEraIsNoRemovedOne failed before.

--- a/core/mirror/rewind.go
+++ b/core/mirror/rewind.go
@@ -95,7 +95,7 @@
 // that changed. What the copy held before and the update lacks or has otherwise
 // becomes past, as far as it outlives the rewind.
 func (m *Mirror) Rewind(u *Update) []Entry {
-	before, former := m.effective(), m.version
+	before, former, wasDeleted := m.effective(), m.version, m.deletedBefore(u)
 	m.entries, m.past = make(map[string]Entry, len(u.Entries)), make(map[string]pastEntry)
 	m.tombstones, m.lastUpdate = nil, nil
 	m.version, m.dropped, m.known = u.Version(), u.Version(), m.known.With(former)
@@ -107,9 +107,7 @@
 		}
 		e.Era = u.Era
 		m.entries[e.Key] = e
-		if _, known := before[e.Key]; !known && e.Revision <= min(former.Revision, m.eraStart) {
-			// The former copy held every entry up to its revision, so that this one
-			// had been deleted.
+		if _, known := before[e.Key]; !known && wasDeleted[e.Key] && e.Revision <= m.eraStart {
 			before[e.Key] = Entry{Key: e.Key, Era: former.Era, Revision: former.Revision, Deleted: true}
 		}
 	}
@@ -119,6 +117,25 @@
 	return m.changesFrom(before)
 }
 
+// deletedBefore returns the keys of a full update of another era that the copy held
+// before and that were deleted. The copy held every entry up to its revision. One that
+// it lacks left a tombstone, unless that may have been dropped; else it was written in
+// the other era, under a revision that is used again.
+func (m *Mirror) deletedBefore(u *Update) map[string]bool {
+	deleted := make(map[string]bool)
+	for _, t := range m.tombstones {
+		deleted[t.Key] = true
+	}
+	for _, e := range u.Entries {
+		if e.Revision <= m.dropped.Revision {
+			deleted[e.Key] = true
+		} else if e.Revision > m.version.Revision {
+			delete(deleted, e.Key)
+		}
+	}
+	return deleted
+}
+
 // MergePast takes over what another copy of the same era keeps of earlier ones, and
 // returns the entries that changed. Of entries that one of them keeps, those that the
 // other one has known and dropped are dropped.
--- a/core/mirror/rewind_test.go
+++ b/core/mirror/rewind_test.go
@@ -94,6 +94,18 @@
 	assert.Equal(t, len(m.Kept()), 0)
 }
 
+// Guards against a target that first registers in the new era, before it is listed and
+// under a revision that was used before, and counts as removed for as long as its entry
+// does not change.
+func TestNewEntryOfTheNewEraIsNoRemovedOne(t *testing.T) {
+	rev := map[string]uint64{"a=1": 20, "b=1": 32, "c=1": 31, "-b": 35}
+	m := New(keepAll)
+	m.Apply(&Update{Full: true, Era: 1, Revision: 30, Entries: entriesOf(rev, "a=1")})
+	m.Apply(&Update{Era: 1, Revision: 36, Entries: entriesOf(rev, "b=1", "-b")})
+	m.Apply(&Update{Full: true, Era: 2, Revision: 34, Entries: entriesOf(rev, "a=1", "b=1", "c=1")})
+	assert.DeepEqual(t, m.visible(), map[string]string{"a": "1", "c": "1"})
+}
+
 // Guards against a rolling restart that counts as a rewind, as VMs of an older build pass
 // on copies without an era, and against a rewind that counts as none.
 func TestEraOfACopyBecomesKnown(t *testing.T) {
