Send decisions on past entries together with all entries

Cause: a VM that was out of touch while the operator wrote and removed a zone's entry in the new era, and then got all entries instead of the changes, saw neither. As both sides knew the same earlier eras, no past entries were exchanged, so that the zone stayed out at this VM only, for good.

Change: a reply with all entries carries what the hub keeps of earlier eras, if any are known, and a VM that keeps entries compares them.

A VM that gets all entries by its own listing or by a delta still does not learn of the removal.

--- a/core/mesh/copy.go
+++ b/core/mesh/copy.go
@@ -59,7 +59,10 @@
 		}
 	}
 	reply.Update = m.storeCopy.Since(theirs)
-	if r.StatesEra && r.StoreEra <= known.Era && !r.PastKnown.CoversAll(reply.PastKnown) {
+	// All entries do not show what was written and removed since the rewind, which decides
+	// past entries.
+	missedDeletions := reply.Update != nil && reply.Update.Full && len(reply.PastKnown) > 0
+	if r.StatesEra && r.StoreEra <= known.Era && (missedDeletions || !r.PastKnown.CoversAll(reply.PastKnown)) {
 		reply.Past = m.storeCopy.Past()
 	}
 }
--- a/core/mesh/era_test.go
+++ b/core/mesh/era_test.go
@@ -188,6 +188,34 @@
 	assert.DeepEqual(t, third.storeCopy.Past(), hub.storeCopy.Past())
 }
 
+// Guards against a zone that stays out at a VM for good: the VM could not see that the
+// operator wrote the zone's entry in the new era and removed it, and got all entries
+// instead of the changes since.
+func TestDecisionsOnPastEntriesArriveWithAllEntries(t *testing.T) {
+	var e eraState
+	newVM := func(id fleet.VMID) *Machine {
+		vm := New(epoch, Settings{Self: Node{ID: id, Peer: string(id), StartedUnixMs: 1}, Outlives: e.outlives(id)})
+		vm.Step(epoch, StoreRead{Sent: epoch, Update: &mirror.Update{Full: true, Era: 1, Revision: 20, Entries: []mirror.Entry{{Key: "zone/z", Value: []byte("1"), Revision: 20}}}})
+		vm.Step(epoch, StoreRead{Sent: epoch, Update: &mirror.Update{Full: true, Era: 2, Revision: 10}})
+		return vm
+	}
+	hub, vm := newVM("hub"), newVM("vm")
+	assert.Equal(t, len(vm.storeCopy.Past().Entries), 1)
+	now := epoch.Add(time.Second)
+	hub.Step(now, Tick{})
+	zone := mirror.Entry{Key: "zone/z", Value: []byte("2"), Revision: 11}
+	hub.Step(now, StoreRead{Sent: now, Update: &mirror.Update{Era: 2, Revision: 11, Entries: []mirror.Entry{zone}}})
+	hub.Step(now, StoreRead{Sent: now, Update: &mirror.Update{Full: true, Era: 2, Revision: 12}})
+	assert.Equal(t, len(hub.storeCopy.Past().Entries), 0)
+	for _, a := range hub.Step(now, Heartbeat{Request: vm.heartbeatRequest("hub")}) {
+		if answer, ok := a.(AnswerHeartbeat); ok {
+			assert.Assert(t, answer.Reply.Update.Full)
+			vm.Step(now, HeartbeatAnswered{Peer: "hub", Sent: now, Reply: answer.Reply})
+		}
+	}
+	assert.Equal(t, len(vm.storeCopy.Past().Entries), 0)
+}
+
 // drill writes what operator and targets do around a rewind, during which a fault lasts.
 func (s *simulation) drill(lasts time.Duration, fault func(on bool)) {
 	target := func(name, process, state string) {
--- a/core/mirror/rewind.go
+++ b/core/mirror/rewind.go
@@ -140,7 +140,7 @@
 // returns the entries that changed. Of entries that one of them keeps, those that the
 // other one has known and dropped are dropped.
 func (m *Mirror) MergePast(p *Past) []Entry {
-	if m.known.CoversAll(p.Known) {
+	if len(m.past) == 0 && m.known.CoversAll(p.Known) {
 		return nil
 	}
 	before := m.effective()
