--- a/core/mesh/era.go
+++ b/core/mesh/era.go
@@ -48,8 +48,8 @@
 	ignored   int       // reads that were ignored because of their era
 }
 
-// judge reports whether to believe an era that a read states, when the copy's era is
-// known.
+// judge counts a read that states an era, and reports whether to believe it, given the
+// era of the copy. An era that is believed at once ends the count.
 func (e *eraEvidence) judge(now time.Time, known, read uint64) bool {
 	if read >= known && read-known <= maxEraStep {
 		e.reads = 0
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -46,7 +46,7 @@
 
 	confirmedAt time.Time // latest time at which the copy was known to be current
 	lastUpdate  *Update   // cached result of Since, which many VMs often request for the same version
-	lastSince   Version
+	lastSince   Version   // for which lastUpdate is; zero if it has all entries
 }
 
 // New returns an empty Mirror that keeps what outlives a rewind.
@@ -175,8 +175,8 @@
 }
 
 // Since returns the changes after a version, nil when the copy is not newer. It
-// returns all entries when the version is of an earlier era, or when tombstones after
-// it were dropped. The result is shared and must not be modified.
+// returns all entries when the copy is of another era, or when tombstones after the
+// version were dropped. The result is shared and must not be modified.
 func (m *Mirror) Since(v Version) *Update {
 	if !v.Before(m.version) {
 		return nil
--- a/core/mirror/rewind.go
+++ b/core/mirror/rewind.go
@@ -138,7 +138,8 @@
 
 // MergePast takes over what another copy of the same era keeps of earlier ones, and
 // returns the entries that changed. Of entries that one of them keeps, those that the
-// other one has known and dropped are dropped.
+// other one has known and dropped are dropped. Without past entries here, and with
+// nothing new in Known, there is nothing to take over.
 func (m *Mirror) MergePast(p *Past) []Entry {
 	if len(m.past) == 0 && m.known.CoversAll(p.Known) {
 		return nil
