--- a/core/mirror/rewind.go
+++ b/core/mirror/rewind.go
@@ -59,14 +59,20 @@
 func (m *Mirror) Known() Known { return m.known }
 
 // Continues reports whether a full update tells the era of a copy whose era was not
-// known, without a sign of a rewind: it has all entries, and none of an earlier revision.
+// known, without a sign of a rewind: it has all entries, none of an earlier revision, and
+// none of up to the copy's revision that the copy lacks. Values of the same revision may
+// differ, as a target's heartbeat may change its number alone.
 func (m *Mirror) Continues(u *Update) bool {
 	if m.version.IsZero() || m.version.Era > 0 || u.Era == 0 || !u.Full || u.Revision < m.version.Revision {
 		return false
 	}
 	same := 0
 	for _, e := range u.Entries {
-		if mine, held := m.entries[e.Key]; held && !e.Deleted && e.Revision >= mine.Revision {
+		mine, held := m.entries[e.Key]
+		switch {
+		case e.Revision <= m.version.Revision && !(held && e.Revision == mine.Revision):
+			return false
+		case held && !e.Deleted && e.Revision >= mine.Revision:
 			same++
 		}
 	}
@@ -89,7 +95,7 @@
 // that changed. What the copy held before and the update lacks or has otherwise
 // becomes past, as far as it outlives the rewind.
 func (m *Mirror) Rewind(u *Update) []Entry {
-	before, former := m.effective(), m.version
+	before, former, wasDeleted := m.effective(), m.version, m.deletedBefore(u)
 	m.entries, m.past = make(map[string]Entry, len(u.Entries)), make(map[string]pastEntry)
 	m.tombstones, m.lastUpdate = nil, nil
 	m.version, m.dropped, m.known = u.Version(), u.Version(), m.known.With(former)
@@ -101,9 +107,7 @@
 		}
 		e.Era = u.Era
 		m.entries[e.Key] = e
-		if _, known := before[e.Key]; !known && e.Revision <= min(former.Revision, m.eraStart) {
-			// The former copy held every entry up to its revision, so that this one
-			// had been deleted.
+		if _, known := before[e.Key]; !known && wasDeleted[e.Key] && e.Revision <= m.eraStart {
 			before[e.Key] = Entry{Key: e.Key, Era: former.Era, Revision: former.Revision, Deleted: true}
 		}
 	}
@@ -113,11 +117,31 @@
 	return m.changesFrom(before)
 }
 
+// deletedBefore returns the keys of a full update of another era that the copy held
+// before and that were deleted. The copy held every entry up to its revision. One that
+// it lacks left a tombstone, unless that may have been dropped; else it was written in
+// the other era, under a revision that is used again.
+func (m *Mirror) deletedBefore(u *Update) map[string]bool {
+	deleted := make(map[string]bool)
+	for _, t := range m.tombstones {
+		deleted[t.Key] = true
+	}
+	for _, e := range u.Entries {
+		if e.Revision <= m.dropped.Revision {
+			deleted[e.Key] = true
+		} else if e.Revision > m.version.Revision {
+			delete(deleted, e.Key)
+		}
+	}
+	return deleted
+}
+
 // MergePast takes over what another copy of the same era keeps of earlier ones, and
 // returns the entries that changed. Of entries that one of them keeps, those that the
-// other one has known and dropped are dropped.
+// other one has known and dropped are dropped. Without past entries here, and with
+// nothing new in Known, there is nothing to take over.
 func (m *Mirror) MergePast(p *Past) []Entry {
-	if m.known.CoversAll(p.Known) {
+	if len(m.past) == 0 && m.known.CoversAll(p.Known) {
 		return nil
 	}
 	before := m.effective()
