Accept retries after a third of the caller's remaining time

Cause: a told wait was recorded in full, up to 1.5 s, although callers honor one only up to a third of their remaining time (docs/hard-load.md). A caller of an urgent query with 1,200 ms left that was told 900 ms and retried after 400 ms was refused as an early repeat, counted as three requests, and reported to other VMs.

Change: the recorded wait ends after a third of the remaining time at the latest.

Result: TestWaitOfAThirdOfTheRemainingTimeIsEnough fails without the change.

--- a/core/serve/callers.go
+++ b/core/serve/callers.go
@@ -15,6 +15,9 @@
 	// told may be expected to be late. Expected times include attemptSpreadPercent, so
 	// that most of these are in time.
 	waitedMarginPercent = 5
+	// honoredWaitDivisor is the part of its remaining time for which a caller honors a
+	// told wait: callers retry after a third of it if they are told to wait longer.
+	honoredWaitDivisor = 3
 )
 
 // callerCheck is what is decided about a query for the sake of its caller.
@@ -109,5 +112,15 @@
 	if v.Standing == callers.OverShare && len(q.subRequests) > 0 { // its services were looked at
 		e.callers.Full(now, c, r.RetryAfter)
 	}
-	e.callers.Told(now, c, q.request.Fingerprint, r.RetryAfter)
+	e.callers.Told(now, c, q.request.Fingerprint, min(r.RetryAfter, q.honoredWait(now)))
+}
+
+// honoredWait returns how long a caller that is told to wait longer waits at most before
+// it retries. Its retry after that time is no early repeat.
+func (q *query) honoredWait(now time.Time) time.Duration {
+	timeout := q.request.Timeout
+	if timeout <= 0 || timeout > q.route.Timeout {
+		timeout = q.route.Timeout
+	}
+	return max(timeout-now.Sub(q.arrived), 0) / honoredWaitDivisor
 }
--- a/core/serve/callers_test.go
+++ b/core/serve/callers_test.go
@@ -164,3 +164,22 @@
 		assert.Equal(t, a.Trace.Caller.Refusal, callers.EarlyRepeat)
 	}
 }
+
+// Guards against callers that count as pressing although they waited for a third of
+// their remaining time, beyond which callers do not honor a told wait.
+func TestWaitOfAThirdOfTheRemainingTimeIsEnough(t *testing.T) {
+	h := newHarness(t)
+	key := callers.NewCaller("", "urgent", "a")
+	for _, c := range []struct{ timeout, told, early, inTime time.Duration }{
+		{1200 * time.Millisecond, 900 * time.Millisecond, 380 * time.Millisecond, 400 * time.Millisecond},
+		{0, 900 * time.Millisecond, 380 * time.Millisecond, 400 * time.Millisecond},
+		{1200 * time.Millisecond, 200 * time.Millisecond, 180 * time.Millisecond, 200 * time.Millisecond},
+	} {
+		q := &query{request: &Request{Timeout: c.timeout, Fingerprint: 7}, arrived: h.now, caller: &callerCheck{caller: key},
+			route: modelRoute("urgent", 0, 1, 1, 80*time.Millisecond, 1200*time.Millisecond)}
+		h.engine.recordCallerAnswer(h.now, q, refusal(outcome.CodeOverloaded, c.told, "no room"))
+		assert.Equal(t, h.engine.callers.Judge(h.now.Add(c.early), key, 7).Refusal, callers.EarlyRepeat, "%+v", c)
+		assert.Equal(t, h.engine.callers.Judge(h.now.Add(c.inTime), key, 7).Refusal, callers.None, "%+v", c)
+		h.now = h.now.Add(time.Minute)
+	}
+}
