Do not admit waited retries beyond their deadline

Cause: a retry of a caller that waited as told may be expected to be late by 5% of the time that is left. Of requests without fan-out, and of those whose objective has passed, that time ends with the deadline, so that a request which was expected to miss it by up to 5% (750 ms of 15 s) was sent to targets.

Change: the margin ends at the deadline.

Result: TestWaitedRetriesAreNotAdmittedBeyondTheDeadline fails without the change.

--- a/core/serve/callers.go
+++ b/core/serve/callers.go
@@ -59,8 +59,9 @@
 }
 
 // callerMargin returns how long before the end of the time that is left a query must be
-// expected to end for its caller's sake. It is negative for one that may be late.
-func (q *query) callerMargin(left time.Duration) time.Duration {
+// expected to end for its caller's sake. It is negative for one that may be late. None
+// may be expected to end after its deadline, when nobody waits for the answer.
+func (q *query) callerMargin(left, untilDeadline time.Duration) time.Duration {
 	if q.caller == nil {
 		return 0
 	}
@@ -68,7 +69,7 @@
 	case callers.OverShare:
 		return left * overShareMarginPercent / 100
 	case callers.Waited:
-		return -left * waitedMarginPercent / 100
+		return -min(left*waitedMarginPercent/100, untilDeadline-left)
 	}
 	return 0
 }
--- a/core/serve/callers_test.go
+++ b/core/serve/callers_test.go
@@ -183,3 +183,29 @@
 		h.now = h.now.Add(time.Minute)
 	}
 }
+
+// Guards against a retry that is admitted, as its caller has waited, although it is
+// expected to end after its deadline: requests without fan-out are given until then.
+func TestWaitedRetriesAreNotAdmittedBeyondTheDeadline(t *testing.T) {
+	const timeout = 3 * time.Second
+	for _, standing := range []callers.Standing{callers.Fair, callers.Waited} {
+		h := newHarness(t)
+		h.openAll()
+		route := modelRoute("single", 0, 0, 1, 300*time.Millisecond, timeout)
+		route.FanOut = nil
+		s := h.engine.services["single"]
+		q := &query{engine: h.engine, request: &Request{}, route: route, deadline: h.now.Add(timeout), minAnswered: 1,
+			subRequests: []*subRequest{{service: s}}, caller: &callerCheck{verdict: callers.Verdict{Standing: standing}}}
+		s.meanAttempt, s.meanAtPace1 = timeout, timeout
+		for len(s.queue) < 10000 {
+			if wait, _ := h.engine.expectedWait(h.now, s, len(s.queue), 0); wait > timeout {
+				assert.Assert(t, wait < timeout*(100+waitedMarginPercent)/100, "%v", wait)
+				break
+			}
+			s.meanAttempt, s.meanAtPace1 = timeout/50, timeout/50
+			s.queue = append(s.queue, &subRequest{query: q, service: s})
+		}
+		a := h.engine.refuseUnservable(h.now, q)
+		assert.Assert(t, a != nil && a.Refusal.Code == outcome.CodeOverloaded, "%v: %+v", standing, a)
+	}
+}
--- a/core/serve/expect.go
+++ b/core/serve/expect.go
@@ -119,7 +119,7 @@
 	down := 0
 	var late []time.Duration // by how much services are expected to be later than the query may be
 	trulyLate := 0           // services expected to be late
-	margin := q.callerMargin(untilObjective)
+	margin := q.callerMargin(untilObjective, untilDeadline)
 	var backoff time.Duration
 	for _, sub := range q.subRequests {
 		b := sub.service.backoffLeft(now)
