Keep no memory for pressing callers beyond the limit

Cause: of a report with more than 128 pressing callers the first 128 were kept as a part of the slice that was received, so that all of it, 1.6 MB for 100,000 entries, stayed in memory for each such sender.

Change: what is kept is copied.

Result: TestReportOfTooManyPressingCallersIsNotKept fails without the change.

--- a/core/mesh/pressing.go
+++ b/core/mesh/pressing.go
@@ -17,12 +17,13 @@
 	pressingTTL = 2 * time.Second
 )
 
-// setPressing replaces the pressing callers that a VM reports.
+// setPressing replaces the pressing callers that a VM reports. It copies those that it
+// keeps, so that a report with too many of them does not stay in memory.
 func (m *Machine) setPressing(into *[]callers.Pressing, reported []callers.Pressing) {
 	if len(*into)+len(reported) > 0 {
 		m.viewDirty = true
 	}
-	*into = reported[:min(len(reported), maxPressing)]
+	*into = slices.Clone(reported[:min(len(reported), maxPressing)])
 }
 
 // reportedPressing returns the pressing callers that this VM and those that send
--- a/core/mesh/pressing_test.go
+++ b/core/mesh/pressing_test.go
@@ -45,3 +45,12 @@
 		}
 	}
 }
+
+// Guards against a report with far too many callers that stays in memory for as long as
+// its sender is a member.
+func TestReportOfTooManyPressingCallersIsNotKept(t *testing.T) {
+	m, from := &Machine{}, &member{}
+	m.setPressing(&from.pressing, make([]callers.Pressing, 100_000))
+	assert.Equal(t, len(from.pressing), maxPressing)
+	assert.Assert(t, cap(from.pressing) < 2*maxPressing, "%d", cap(from.pressing))
+}
