Bound the wait of callers that are over their share

Cause: a caller over its share that is refused at once is told the wait of another one plus a jitter, although that wait held a jitter already: up to 2.25 s, where refusals under load are bounded by 1.5 s.

Change: the wait that is kept for others is at most the bound without jitter.

Result: TestWaitOfACallerOverItsShareIsBounded fails without the change (2.249 s).

--- a/core/serve/callers.go
+++ b/core/serve/callers.go
@@ -111,7 +111,7 @@
 		e.callers.Overloaded(now, c)
 	}
 	if v.Standing == callers.OverShare && len(q.subRequests) > 0 { // its services were looked at
-		e.callers.Full(now, c, r.RetryAfter)
+		e.callers.Full(now, c, min(r.RetryAfter, maxRetryAfter)) // refuseCaller adds another jitter
 	}
 	e.callers.Told(now, c, q.request.Fingerprint, min(r.RetryAfter, q.honoredWait(now)))
 }
--- a/core/serve/callers_test.go
+++ b/core/serve/callers_test.go
@@ -210,3 +210,27 @@
 		assert.Assert(t, a != nil && a.Refusal.Code == outcome.CodeOverloaded, "%v: %+v", standing, a)
 	}
 }
+
+// Guards against waits beyond the bound of a refusal under load: the jitter was added
+// to a wait that held the jitter of another request.
+func TestWaitOfACallerOverItsShareIsBounded(t *testing.T) {
+	h := newHarness(t)
+	h.config = testConfig(2, testRoutes(), 0)
+	h.publish()
+	key := callers.NewCaller("a", "sweep", "a")
+	h.engine.callers.Overloaded(h.now, key)
+	for range 9 {
+		h.engine.callers.Admitted(h.now, key)
+	}
+	for i := range 9 {
+		h.engine.callers.Admitted(h.now, callers.NewCaller("a", "sweep", string(rune('b'+i))))
+	}
+	const longest = time.Duration(float64(maxRetryAfter) * (1 + retryJitter))
+	q := &query{request: &Request{}, route: h.config.Routes()[0], arrived: h.now, subRequests: make([]*subRequest, 1),
+		caller: &callerCheck{caller: key, verdict: callers.Verdict{Standing: callers.OverShare, Refusal: callers.Share}}}
+	h.engine.recordCallerAnswer(h.now, q, refusal(outcome.CodeOverloaded, longest, "no room"))
+	h.step(Submit{Request: &Request{ID: 1, Host: "h", Path: "/sweep/x", Key: testKey, Fingerprint: 1023, Caller: "a"}})
+	a := h.answers[1]
+	assert.Assert(t, a != nil && a.Trace.Caller.Refusal == callers.Share, "%+v", a)
+	assert.Assert(t, a.Refusal.RetryAfter <= longest, "%v", a.Refusal.RetryAfter)
+}
