Name the cost of early repeats at other VMs

"Told" stood for the waits that callers were told and for what other VMs report. The comments of hasFloor and trulyLate say what they leave out. No change of behavior.

--- a/core/callers/callers.go
+++ b/core/callers/callers.go
@@ -95,9 +95,9 @@
 	waits  waitTable
 	groups map[uint64]*group
 
-	repeatedAt time.Duration      // last early repeat
-	told       map[uint64]float64 // by id of the caller: cost of early repeats at other VMs
-	toldAt     time.Duration
+	repeatedAt  time.Duration      // last early repeat at this VM
+	elsewhere   map[uint64]float64 // by id of the caller: cost of early repeats at other VMs
+	elsewhereAt time.Duration      // when it was set
 }
 
 // maxGroups bounds the groups that are kept. Only groups of the configuration that had
@@ -146,8 +146,8 @@
 // judgeShare decides about a request that is no early repeat. A caller over its share
 // that has waited as told is treated like others.
 func (l *Ledger) judgeShare(at time.Duration, g *group, c Caller, waited bool) Verdict {
-	v := Verdict{Mean: l.meanOf(at, g, c.group), Measure: l.toldCost(at, c)}
-	hasFloor := true
+	v := Verdict{Mean: l.meanOf(at, g, c.group), Measure: l.costElsewhere(at, c)}
+	hasFloor := true // is not refused at once, see floorInterval
 	if s := l.shares.find(at, c); s != nil {
 		v.Measure = s.admitted + max(s.pressed, v.Measure)
 		hasFloor = s.admitted == 0 || at-s.admittedAt >= floorInterval
--- a/core/callers/pressing.go
+++ b/core/callers/pressing.go
@@ -41,23 +41,23 @@
 
 // SetPressing replaces the callers of which other VMs have seen early repeats.
 func (l *Ledger) SetPressing(now time.Time, all []Pressing) {
-	l.toldAt, l.told = l.since(now), nil
+	l.elsewhereAt, l.elsewhere = l.since(now), nil
 	if len(all) == 0 {
 		return
 	}
-	l.told = make(map[uint64]float64, len(all))
+	l.elsewhere = make(map[uint64]float64, len(all))
 	for _, p := range all {
-		l.told[p.ID] = min(p.Cost, maxPressed)
+		l.elsewhere[p.ID] = min(p.Cost, maxPressed)
 	}
 }
 
-// toldCost returns the cost of the early repeats of a caller at other VMs.
-func (l *Ledger) toldCost(at time.Duration, c Caller) float64 {
-	cost, told := l.told[c.id]
-	if !told {
+// costElsewhere returns the cost of the early repeats of a caller at other VMs.
+func (l *Ledger) costElsewhere(at time.Duration, c Caller) float64 {
+	cost, known := l.elsewhere[c.id]
+	if !known {
 		return 0
 	}
-	return cost * decayed(at-l.toldAt)
+	return cost * decayed(at-l.elsewhereAt)
 }
 
 // decayed returns the part of a measure that is left after a time.
--- a/core/serve/expect.go
+++ b/core/serve/expect.go
@@ -118,7 +118,7 @@
 	untilObjective := e.admissionTime(now, q, untilDeadline)
 	down := 0
 	var late []time.Duration // by how much services are expected to be later than the query may be
-	trulyLate := 0           // services expected to be late
+	trulyLate := 0           // services expected to be late without the margin of the caller
 	margin := q.callerMargin(untilObjective, untilDeadline)
 	var backoff time.Duration
 	for _, sub := range q.subRequests {
