--- a/core/serve/callers.go
+++ b/core/serve/callers.go
@@ -15,6 +15,9 @@
 	// told may be expected to be late. Expected times include attemptSpreadPercent, so
 	// that most of these are in time.
 	waitedMarginPercent = 5
+	// honoredWaitDivisor is the part of its remaining time for which a caller honors a
+	// told wait: callers retry after a third of it if they are told to wait longer.
+	honoredWaitDivisor = 3
 )
 
 // callerCheck is what is decided about a query for the sake of its caller.
@@ -56,8 +59,9 @@
 }
 
 // callerMargin returns how long before the end of the time that is left a query must be
-// expected to end for its caller's sake. It is negative for one that may be late.
-func (q *query) callerMargin(left time.Duration) time.Duration {
+// expected to end for its caller's sake. It is negative for one that may be late. None
+// may be expected to end after its deadline, when nobody waits for the answer.
+func (q *query) callerMargin(left, untilDeadline time.Duration) time.Duration {
 	if q.caller == nil {
 		return 0
 	}
@@ -65,7 +69,7 @@
 	case callers.OverShare:
 		return left * overShareMarginPercent / 100
 	case callers.Waited:
-		return -left * waitedMarginPercent / 100
+		return -min(left*waitedMarginPercent/100, untilDeadline-left)
 	}
 	return 0
 }
@@ -107,7 +111,17 @@
 		e.callers.Overloaded(now, c)
 	}
 	if v.Standing == callers.OverShare && len(q.subRequests) > 0 { // its services were looked at
-		e.callers.Full(now, c, r.RetryAfter)
+		e.callers.Full(now, c, min(r.RetryAfter, maxRetryAfter)) // refuseCaller adds another jitter
 	}
-	e.callers.Told(now, c, q.request.Fingerprint, r.RetryAfter)
+	e.callers.Told(now, c, q.request.Fingerprint, min(r.RetryAfter, q.honoredWait(now)))
+}
+
+// honoredWait returns how long a caller that is told to wait longer waits at most before
+// it retries. Its retry after that time is no early repeat.
+func (q *query) honoredWait(now time.Time) time.Duration {
+	timeout := q.request.Timeout
+	if timeout <= 0 || timeout > q.route.Timeout {
+		timeout = q.route.Timeout
+	}
+	return max(timeout-now.Sub(q.arrived), 0) / honoredWaitDivisor
 }
--- a/core/serve/callers_test.go
+++ b/core/serve/callers_test.go
@@ -88,6 +88,7 @@
 
 func (n *tally) add(o tally) {
 	n.calls, n.inTime, n.late, n.refused = n.calls+o.calls, n.inTime+o.inTime, n.late+o.late, n.refused+o.refused
+	n.partial += o.partial
 }
 
 func (n tally) served() int { return n.inTime + n.late }
@@ -164,3 +165,72 @@
 		assert.Equal(t, a.Trace.Caller.Refusal, callers.EarlyRepeat)
 	}
 }
+
+// Guards against callers that count as pressing although they waited for a third of
+// their remaining time, beyond which callers do not honor a told wait.
+func TestWaitOfAThirdOfTheRemainingTimeIsEnough(t *testing.T) {
+	h := newHarness(t)
+	key := callers.NewCaller("", "urgent", "a")
+	for _, c := range []struct{ timeout, told, early, inTime time.Duration }{
+		{1200 * time.Millisecond, 900 * time.Millisecond, 380 * time.Millisecond, 400 * time.Millisecond},
+		{0, 900 * time.Millisecond, 380 * time.Millisecond, 400 * time.Millisecond},
+		{1200 * time.Millisecond, 200 * time.Millisecond, 180 * time.Millisecond, 200 * time.Millisecond},
+	} {
+		q := &query{request: &Request{Timeout: c.timeout, Fingerprint: 7}, arrived: h.now, caller: &callerCheck{caller: key},
+			route: modelRoute("urgent", 0, 1, 1, 80*time.Millisecond, 1200*time.Millisecond)}
+		h.engine.recordCallerAnswer(h.now, q, refusal(outcome.CodeOverloaded, c.told, "no room"))
+		assert.Equal(t, h.engine.callers.Judge(h.now.Add(c.early), key, 7).Refusal, callers.EarlyRepeat, "%+v", c)
+		assert.Equal(t, h.engine.callers.Judge(h.now.Add(c.inTime), key, 7).Refusal, callers.None, "%+v", c)
+		h.now = h.now.Add(time.Minute)
+	}
+}
+
+// Guards against a retry that is admitted, as its caller has waited, although it is
+// expected to end after its deadline: requests without fan-out are given until then.
+func TestWaitedRetriesAreNotAdmittedBeyondTheDeadline(t *testing.T) {
+	const timeout = 3 * time.Second
+	for _, standing := range []callers.Standing{callers.Fair, callers.Waited} {
+		h := newHarness(t)
+		h.openAll()
+		route := modelRoute("single", 0, 0, 1, 300*time.Millisecond, timeout)
+		route.FanOut = nil
+		s := h.engine.services["single"]
+		q := &query{engine: h.engine, request: &Request{}, route: route, deadline: h.now.Add(timeout), minAnswered: 1,
+			subRequests: []*subRequest{{service: s}}, caller: &callerCheck{verdict: callers.Verdict{Standing: standing}}}
+		s.meanAttempt, s.meanAtPace1 = timeout, timeout
+		for len(s.queue) < 10000 {
+			if wait, _ := h.engine.expectedWait(h.now, s, len(s.queue), 0); wait > timeout {
+				assert.Assert(t, wait < timeout*(100+waitedMarginPercent)/100, "%v", wait)
+				break
+			}
+			s.meanAttempt, s.meanAtPace1 = timeout/50, timeout/50
+			s.queue = append(s.queue, &subRequest{query: q, service: s})
+		}
+		a := h.engine.refuseUnservable(h.now, q)
+		assert.Assert(t, a != nil && a.Refusal.Code == outcome.CodeOverloaded, "%v: %+v", standing, a)
+	}
+}
+
+// Guards against waits beyond the bound of a refusal under load: the jitter was added
+// to a wait that held the jitter of another request.
+func TestWaitOfACallerOverItsShareIsBounded(t *testing.T) {
+	h := newHarness(t)
+	h.config = testConfig(2, testRoutes(), 0)
+	h.publish()
+	key := callers.NewCaller("a", "sweep", "a")
+	h.engine.callers.Overloaded(h.now, key)
+	for range 9 {
+		h.engine.callers.Admitted(h.now, key)
+	}
+	for i := range 9 {
+		h.engine.callers.Admitted(h.now, callers.NewCaller("a", "sweep", string(rune('b'+i))))
+	}
+	const longest = time.Duration(float64(maxRetryAfter) * (1 + retryJitter))
+	q := &query{request: &Request{}, route: h.config.Routes()[0], arrived: h.now, subRequests: make([]*subRequest, 1),
+		caller: &callerCheck{caller: key, verdict: callers.Verdict{Standing: callers.OverShare, Refusal: callers.Share}}}
+	h.engine.recordCallerAnswer(h.now, q, refusal(outcome.CodeOverloaded, longest, "no room"))
+	h.step(Submit{Request: &Request{ID: 1, Host: "h", Path: "/sweep/x", Key: testKey, Fingerprint: 1023, Caller: "a"}})
+	a := h.answers[1]
+	assert.Assert(t, a != nil && a.Trace.Caller.Refusal == callers.Share, "%+v", a)
+	assert.Assert(t, a.Refusal.RetryAfter <= longest, "%v", a.Refusal.RetryAfter)
+}
