--- a/contract/target_test.go
+++ b/contract/target_test.go
@@ -114,6 +114,7 @@
 			a := s.duringSearch(t, "a5", func() { call(t, http.MethodDelete, s.url+"/v1/attempts/a5", nil, "") })
 			assert.Equal(t, a.status, 499)
 			assert.Assert(t, a.elapsed < cancelTimeout, "it took %v", a.elapsed)
+			assert.Equal(t, s.fake.Counts().Cancelled, 1)
 		}},
 		{"a full target sheds without running", true, func(t *testing.T, s *targetClient) {
 			s.duringSearch(t, "a6", func() {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
 	"github.com/anvilfork/anvilfork/core/admit"
@@ -157,6 +158,9 @@
 	h := c.Request().Header
 	service := c.Param("service")
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxCallerBodyBytes))
+	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
+		return call, outcome.New(outcome.CodeTooLarge, outcome.NotRun, "the body is longer than %d bytes", tooLong.Limit)
+	}
 	if err != nil {
 		return call, outcome.New(outcome.CodeBadRequest, outcome.NotRun, "request body: %v", err)
 	}
--- a/standin/target.go
+++ b/standin/target.go
@@ -25,7 +25,7 @@
 type TargetCounts struct {
 	Ran        int // requests that started to run
 	Shed       int // requests refused with status 503
-	Cancelled  int
+	Cancelled  int // attempts that a caller cancelled while they ran
 	MaxRunning int // most requests that ran at once
 	Conns      int // open now
 	MaxConns   int
@@ -264,6 +264,7 @@
 		if stop, ok := t.cancels[r.PathValue("attempt")]; ok {
 			delete(t.cancels, r.PathValue("attempt"))
 			close(stop)
+			t.counts.Cancelled++
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
