--- a/client/client.go
+++ b/client/client.go
@@ -51,7 +51,7 @@
 // Request is one query.
 type Request struct {
 	Service string // name of the service to query
-	Body    []byte // passed to the targets as it is; a body longer than 1 MiB is refused with outcome.CodeBadRequest
+	Body    []byte // passed to the targets as it is; a body longer than 1 MiB is refused with outcome.CodeTooLarge
 
 	// Deadline is the time for the whole query with its retries; zero means 2
 	// seconds. A VM also ends each attempt after the deadline of the service, and
--- a/contract/caller_test.go
+++ b/contract/caller_test.go
@@ -168,7 +168,7 @@
 		{"a malformed id", headers{"Anvilfork-Request-Id": "17"}, "mats", http.StatusBadRequest, "bad_request", "not_run"},
 		{"a coverage above 1", headers{"Anvilfork-Least-Coverage": "1.5"}, "mats", http.StatusBadRequest, "bad_request", "not_run"},
 		{"an invalid header value", headers{"Anvilfork-Idempotent": "flase"}, "mats", http.StatusBadRequest, "bad_request", "not_run"},
-		{"a body that is too long", nil, strings.Repeat("m", maxBodyBytes+1), http.StatusBadRequest, "bad_request", "not_run"},
+		{"a body that is too long", nil, strings.Repeat("m", maxBodyBytes+1), http.StatusRequestEntityTooLarge, "too_large", "not_run"},
 	} {
 		t.Run(r.name, func(t *testing.T) {
 			a := c.query(t, r.overrides, r.body)
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -113,7 +113,7 @@
 func (a *adminServer) setLogLevel(c echo.Context) error {
 	var body LogLevel
 	if err := c.Bind(&body); err != nil {
-		return refuse(c, outcome.New(outcome.CodeBadRequest, outcome.NotRun, "body: %v", err))
+		return refuse(c, refuseBody(err))
 	}
 	if reason := logLevelViolation(body.Level); reason != "" {
 		return refuse(c, outcome.New(outcome.CodeBadRequest, outcome.NotRun, "log level %q %s", body.Level, reason))
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -151,6 +151,15 @@
 	}
 }
 
+// refuseBody returns the refusal of a request whose body could not be read.
+func refuseBody(err error) *outcome.Refusal {
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return outcome.New(outcome.CodeTooLarge, outcome.NotRun, "the body is longer than %d bytes", tooLong.Limit)
+	}
+	return outcome.New(outcome.CodeBadRequest, outcome.NotRun, "request body: %v", err)
+}
+
 // parseCall reads a query from the request. Its deadline is earlier than the
 // caller's by the time that is reserved for the response.
 func parseCall(c echo.Context, now time.Time) (callMsg, *outcome.Refusal) {
@@ -158,11 +167,8 @@
 	h := c.Request().Header
 	service := c.Param("service")
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxCallerBodyBytes))
-	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-		return call, outcome.New(outcome.CodeTooLarge, outcome.NotRun, "the body is longer than %d bytes", tooLong.Limit)
-	}
 	if err != nil {
-		return call, outcome.New(outcome.CodeBadRequest, outcome.NotRun, "request body: %v", err)
+		return call, refuseBody(err)
 	}
 	id, err := parseOrNewRequestID(h.Get(headerRequestID), now)
 	if err != nil {
--- a/daemon/limits_test.go
+++ b/daemon/limits_test.go
@@ -52,7 +52,7 @@
 			want       string // start of the answer; empty when the connection closes without one
 		}{
 			{"long header", "Long: " + strings.Repeat("x", 32<<10) + "\r\n\r\n", waitTimeout, "HTTP/1.1 431"},
-			{"long body", fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n\r\n{\"level\":\"error\"%s}", 2<<20, strings.Repeat(" ", 2<<20-len(`{"level":"error"}`))), waitTimeout, "HTTP/1.1 400"},
+			{"long body", fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n\r\n{\"level\":\"error\"%s}", 2<<20, strings.Repeat(" ", 2<<20-len(`{"level":"error"}`))), waitTimeout, "HTTP/1.1 413"},
 			{"slow header", "Slow: ", 8 * time.Second, ""},
 			{"slow body", "Content-Type: application/json\r\nContent-Length: 9\r\n\r\n{", 13 * time.Second, "HTTP/1.1 400"},
 		} {
