Name the state of callers a tracker, and drop an unused argument

Cause: "ledger" is the record of claims in this project; confirmCopy took a time that it did not use. Result: no change of behaviour; core/callers, core/serve and core/mesh pass.

--- a/core/callers/callers.go
+++ b/core/callers/callers.go
@@ -1,5 +1,5 @@
 // Package callers decides which callers are refused first while work has to be
-// refused. A Ledger is given the requests, what became of them and the time. It keeps
+// refused. A Tracker is given the requests, what became of them and the time. It keeps
 // for each caller how much was admitted lately and how often it repeated a refused
 // request before the time that it was told, and the waits that callers were told. Its
 // size is fixed.
@@ -22,7 +22,7 @@
 	floorInterval = time.Second
 	// repeatCost is how many admitted requests a repeat before the told time counts as.
 	repeatCost = 3.0
-	// maxPressed bounds the cost of repeats, so that a caller that stops to press is
+	// maxPressed bounds the cost of repeats, so that a caller that stops pressing is
 	// within its share again after some halfLives.
 	maxPressed = 12.0
 	// earlyTolerance covers the rounding of the told time to milliseconds and timers of
@@ -79,7 +79,7 @@
 // String returns the name used in logs and metrics.
 func (c Cause) String() string { return causeNames[c] }
 
-// Verdict is what a Ledger decides about a request. RetryAfter is set with Refusal.
+// Verdict is what a Tracker decides about a request. RetryAfter is set with Refusal.
 type Verdict struct {
 	Standing   Standing
 	Refusal    Cause
@@ -88,8 +88,8 @@
 	Mean       float64 // of the admitted requests of the callers that are present
 }
 
-// Ledger holds the state of all callers of a VM.
-type Ledger struct {
+// Tracker holds the state of all callers of a VM.
+type Tracker struct {
 	start  time.Time
 	shares shareTable
 	waits  waitTable
@@ -113,17 +113,17 @@
 	meanAt       time.Duration // when it was computed; zero if it never was
 }
 
-// New returns a Ledger without callers.
-func New(now time.Time) *Ledger {
-	return &Ledger{start: now, groups: make(map[uint64]*group)}
+// New returns a Tracker without callers.
+func New(now time.Time) *Tracker {
+	return &Tracker{start: now, groups: make(map[uint64]*group)}
 }
 
-// since returns the time since the start of the ledger, above zero.
-func (l *Ledger) since(now time.Time) time.Duration { return max(now.Sub(l.start), 0) + 1 }
+// since returns the time since the start of the tracker, above zero.
+func (l *Tracker) since(now time.Time) time.Duration { return max(now.Sub(l.start), 0) + 1 }
 
 // Judge decides about a request before any other work is done for it. Without a recent
 // refusal for want of capacity every request is Fair.
-func (l *Ledger) Judge(now time.Time, c Caller, fingerprint uint64) Verdict {
+func (l *Tracker) Judge(now time.Time, c Caller, fingerprint uint64) Verdict {
 	at := l.since(now)
 	g := l.groups[c.group]
 	if g == nil || at-g.overloadedAt > pressureTime {
@@ -145,7 +145,7 @@
 
 // judgeShare decides about a request that is no early repeat. A caller over its share
 // that has waited as told is treated like others.
-func (l *Ledger) judgeShare(at time.Duration, g *group, c Caller, waited bool) Verdict {
+func (l *Tracker) judgeShare(at time.Duration, g *group, c Caller, waited bool) Verdict {
 	v := Verdict{Mean: l.meanOf(at, g, c.group), Measure: l.costElsewhere(at, c)}
 	hasFloor := true // is not refused at once, see floorInterval
 	if s := l.shares.find(at, c); s != nil {
@@ -167,7 +167,7 @@
 
 // meanOf returns the mean of a group, which is computed anew when it is older than
 // meanInterval.
-func (l *Ledger) meanOf(at time.Duration, g *group, id uint64) float64 {
+func (l *Tracker) meanOf(at time.Duration, g *group, id uint64) float64 {
 	const meanInterval = 250 * time.Millisecond // a scan of all callers takes some 10 us
 	if g.meanAt == 0 || at-g.meanAt > meanInterval {
 		g.mean, g.meanAt = l.shares.mean(at, id), at
@@ -176,7 +176,7 @@
 }
 
 // Admitted counts an admitted request.
-func (l *Ledger) Admitted(now time.Time, c Caller) {
+func (l *Tracker) Admitted(now time.Time, c Caller) {
 	at := l.since(now)
 	s := l.shares.entry(at, c)
 	s.admitted++
@@ -184,14 +184,14 @@
 }
 
 // Told records that a request was refused and its caller told to wait.
-func (l *Ledger) Told(now time.Time, c Caller, fingerprint uint64, wait time.Duration) {
+func (l *Tracker) Told(now time.Time, c Caller, fingerprint uint64, wait time.Duration) {
 	at := l.since(now)
 	l.waits.set(waitID(c, fingerprint), at+wait)
 }
 
 // Overloaded records that there was no capacity for a request of a group, whoever its
 // caller was.
-func (l *Ledger) Overloaded(now time.Time, c Caller) {
+func (l *Tracker) Overloaded(now time.Time, c Caller) {
 	at := l.since(now)
 	g := l.groups[c.group]
 	if g == nil {
@@ -204,7 +204,7 @@
 
 // Full records that there is no room for callers over their share, and how long they
 // are to wait.
-func (l *Ledger) Full(now time.Time, c Caller, wait time.Duration) {
+func (l *Tracker) Full(now time.Time, c Caller, wait time.Duration) {
 	if g := l.groups[c.group]; g != nil {
 		g.fullUntil, g.fullWait = l.since(now)+fullTime, wait
 	}
@@ -212,7 +212,7 @@
 
 // dropOldGroups makes room for a group: it drops those without pressure, and all if
 // none is.
-func (l *Ledger) dropOldGroups(at time.Duration) {
+func (l *Tracker) dropOldGroups(at time.Duration) {
 	if len(l.groups) < maxGroups {
 		return
 	}
--- a/core/callers/pressing.go
+++ b/core/callers/pressing.go
@@ -19,7 +19,7 @@
 const pressingTime = 5 * halfLife // in which maxPressed falls below minPressing
 
 // Pressing returns the callers of which this VM has seen early repeats.
-func (l *Ledger) Pressing(now time.Time) []Pressing {
+func (l *Tracker) Pressing(now time.Time) []Pressing {
 	at := l.since(now)
 	if l.repeatedAt == 0 || at-l.repeatedAt > pressingTime {
 		return nil
@@ -40,7 +40,7 @@
 }
 
 // SetPressing replaces the callers of which other VMs have seen early repeats.
-func (l *Ledger) SetPressing(now time.Time, all []Pressing) {
+func (l *Tracker) SetPressing(now time.Time, all []Pressing) {
 	l.elsewhereAt, l.elsewhere = l.since(now), nil
 	if len(all) == 0 {
 		return
@@ -52,7 +52,7 @@
 }
 
 // costElsewhere returns the cost of the early repeats of a caller at other VMs.
-func (l *Ledger) costElsewhere(at time.Duration, c Caller) float64 {
+func (l *Tracker) costElsewhere(at time.Duration, c Caller) float64 {
 	cost, known := l.elsewhere[c.id]
 	if !known {
 		return 0
--- a/core/callers/table.go
+++ b/core/callers/table.go
@@ -4,7 +4,7 @@
 
 // Both tables consist of sets of a few entries. The hash of an entry names its set, and
 // an entry that finds its set full replaces the least one of it, so that the time for
-// each request is bounded too. Times are counted from the start of the Ledger.
+// each request is bounded too. Times are counted from the start of the Tracker.
 const (
 	tableSets = 512
 	setSize   = 8
--- a/core/mesh/copy.go
+++ b/core/mesh/copy.go
@@ -36,7 +36,7 @@
 }
 
 // confirmCopy records that a copy of version asOf was complete at a time.
-func (m *Machine) confirmCopy(now time.Time, asOf mirror.Version, at time.Time) {
+func (m *Machine) confirmCopy(asOf mirror.Version, at time.Time) {
 	before := m.storeCopy.ConfirmedAt()
 	m.storeCopy.Confirm(asOf, at)
 	if m.storeCopy.ConfirmedAt().After(before) {
@@ -99,7 +99,7 @@
 	if u != nil {
 		asOf = u.Version()
 	}
-	m.confirmCopy(now, asOf, confirmedAt)
+	m.confirmCopy(asOf, confirmedAt)
 }
 
 // mergePast takes over what another VM, whose copy is of the given version, keeps of
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -107,7 +107,7 @@
 	m.needsListing = false
 	m.noteStoreRead(now)
 	m.applyRead(now, ev.Update)
-	m.confirmCopy(now, ev.Update.Version(), completeAsOf(now, &ev))
+	m.confirmCopy(ev.Update.Version(), completeAsOf(now, &ev))
 	m.forwardChanges(now)
 }
 
--- a/core/serve/engine.go
+++ b/core/serve/engine.go
@@ -51,7 +51,7 @@
 	routes            map[string]*routeState     // by name
 	workspaces        map[string]*workspaceState // by name
 	crashes           crashes
-	callers           *callers.Ledger
+	callers           *callers.Tracker
 	deliveryLag       deliveryLag
 	relays            map[RelayID]*relay
 	relayBlockedUntil map[fleet.VMID]time.Time // until when nothing is relayed to a VM
--- a/core/serve/expect.go
+++ b/core/serve/expect.go
@@ -65,8 +65,8 @@
 }
 
 // expectedWait estimates how long a sub-request of a priority with so many others ahead
-// of it is queued on this VM. It returns false if the service has no target. It does not count
-// the time for which all targets want no requests; backoffLeft does.
+// of it is queued on this VM. It returns false if the service has no target. It does not
+// count the time for which all targets want no requests; backoffLeft does.
 func (e *Engine) expectedWait(now time.Time, s *service, ahead, priority int) (time.Duration, bool) {
 	capacity, full, choice := 0, s.overloadControl, s.choice(now)
 	for _, t := range s.targets {
