--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -7,4 +7,4 @@
 	echo "build first: the command of deploy/system.toml, and review/build-2.sh" >&2
 	exit 2
 fi
-exec "$standins" -root ../.. -record record.txt limits
+exec "$standins" -root ../.. -record record.txt away
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -18,6 +18,7 @@
 	contact      = 4 * time.Second // ContactMs
 	configApply  = 3 * time.Second // ConfigApplyMs
 	readyTimeout = 10 * time.Second
+	startGap     = 30 * time.Millisecond // between the starts of two machines; all start within 0.3 s
 )
 
 // machine is a machine of the system with its process.
@@ -27,6 +28,7 @@
 	root           string // the repository
 	cmd            *exec.Cmd
 	exited         chan struct{}
+	link           *storeLink // to the store
 
 	mu            sync.Mutex
 	disturbedFrom time.Time // of the current or last disruption; zero for none
@@ -78,13 +80,17 @@
 		}
 	}
 	for _, m := range f.machines {
-		text := strings.NewReplacer("NAME", m.name, "IP", m.ip, "ZONE", m.zone, "SEEDS", strings.Join(seeds, ", "), "STORE", storeAddress).Replace(settingsText)
+		if m.link, err = newStoreLink(storeAddress); err != nil {
+			return nil, err
+		}
+		text := strings.NewReplacer("NAME", m.name, "IP", m.ip, "ZONE", m.zone, "SEEDS", strings.Join(seeds, ", "), "STORE", m.link.address).Replace(settingsText)
 		if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
 		if err := m.start(); err != nil {
 			return nil, err
 		}
+		time.Sleep(startGap)
 	}
 	deadline := time.Now().Add(readyTimeout)
 	for _, m := range f.machines {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -24,7 +24,7 @@
 // scenario plays a case and reports whether the rule was broken.
 type scenario func(p *play) (broken bool, err error)
 
-var scenarios = map[string]scenario{"poison": playPoison, "cold": playCold, "limits": playLimits, "gone": playGone}
+var scenarios = map[string]scenario{"poison": playPoison, "cold": playCold, "gone": playGone, "away": playAway}
 
 // play is what a scenario needs.
 type play struct {
--- a/review/standins-2/pool.go
+++ b/review/standins-2/pool.go
@@ -22,6 +22,7 @@
 	answers   map[int]int // by status
 	lost      int         // requests that ran and have no answer of their searcher
 	ranIDs    map[string]int
+	sentTo    map[string]*machine // by request
 	closing   bool
 }
 
@@ -30,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &pool{play: p, store: st, arrivals: make(chan arrival, 1<<16), cancel: make(chan struct{}), answers: make(map[int]int), ranIDs: make(map[string]int)}
+	o := &pool{play: p, store: st, arrivals: make(chan arrival, 1<<16), cancel: make(chan struct{}), answers: make(map[int]int), ranIDs: make(map[string]int), sentTo: make(map[string]*machine)}
 	st.put(configKey, c)
 	for _, sc := range searchers {
 		if _, err := o.addSearcher(sc, "", false, setUp); err != nil {
@@ -102,6 +103,9 @@
 					continue
 				}
 				id := newRequestID()
+				o.mu.Lock()
+				o.sentTo[id] = m
+				o.mu.Unlock()
 				o.play.record.add("%s sent to %s", id, m.name)
 				a := call(c, m, method, fmt.Sprintf("%s%d-%d", prefix, i, n), id, []byte("x"), 3*time.Second)
 				o.play.record.add("%s answered %d", id, a.status)
--- a/review/standins-2/searcher.go
+++ b/review/standins-2/searcher.go
@@ -56,6 +56,7 @@
 	sequence int
 	entry    string // as last written, without the sequence
 	ended    bool
+	leaving  bool // writes no entry any more
 	end      chan struct{}
 }
 
@@ -98,7 +99,7 @@
 func (s *searcher) heartbeat() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended {
+	if s.ended || s.leaving {
 		return
 	}
 	s.sequence++
