--- a/review/standins-2/away.go
+++ b/review/standins-2/platform/away.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -14,7 +13,7 @@
 	listener net.Listener
 	to       string
 
-	mu    sync.Mutex
+	mu    guard
 	cut   bool
 	conns map[net.Conn]bool
 }
@@ -24,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &storeLink{address: l.Addr().String(), listener: l, to: to, conns: make(map[net.Conn]bool)}
+	k := &storeLink{mu: newGuard(), address: l.Addr().String(), listener: l, to: to, conns: make(map[net.Conn]bool)}
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/platform/fleet.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -30,7 +29,7 @@
 	exited         chan struct{}
 	link           *storeLink // to the store
 
-	mu            sync.Mutex
+	mu            guard
 	disturbedFrom time.Time // of the current or last disruption; zero for none
 	disturbedTo   time.Time // its end; zero while it lasts
 }
@@ -72,7 +71,7 @@
 	f := &fleet{client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	var seeds []string
 	for i := range count {
-		m := &machine{name: fmt.Sprintf("front-%d", i+1), ip: fmt.Sprintf("%s.%d", net1, i+1), zone: fmt.Sprintf("z%d", i%2), root: root}
+		m := &machine{mu: newGuard(), name: fmt.Sprintf("front-%d", i+1), ip: fmt.Sprintf("%s.%d", net1, i+1), zone: fmt.Sprintf("z%d", i%2), root: root}
 		m.settings, m.log = filepath.Join(dir, m.name+".yaml"), filepath.Join(dir, m.name+".log")
 		f.machines = append(f.machines, m)
 		if i < 3 {
@@ -194,10 +193,10 @@
 
 // started holds all processes that were started. A process that was waited for is not
 // signalled by os.Process.Kill.
-var started struct {
-	sync.Mutex
+var started = struct {
+	guard
 	processes []*os.Process
-}
+}{guard: newGuard()}
 
 // killStarted kills all processes that were started, and lets no other one start.
 func killStarted() {
--- a/review/standins-2/gone.go
+++ b/review/standins-2/platform/gone.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -44,7 +43,7 @@
 // retry after a refusal, on a new connection.
 type goneClients struct {
 	pool   *pool
-	mu     sync.Mutex
+	mu     guard
 	idle   map[*machine][]*clientConn
 	closed map[string]time.Time // when the client closed the connection of an attempt without an answer
 	sentTo map[string]*machine
@@ -76,7 +75,7 @@
 		return false, err
 	}
 	defer o.close()
-	g := &goneClients{pool: o, idle: make(map[*machine][]*clientConn), closed: make(map[string]time.Time), sentTo: make(map[string]*machine), ends: make(map[string]int)}
+	g := &goneClients{mu: newGuard(), pool: o, idle: make(map[*machine][]*clientConn), closed: make(map[string]time.Time), sentTo: make(map[string]*machine), ends: make(map[string]int)}
 	g.send(usualTime, false)
 	if p.trouble {
 		p.record.say("clients move to the zone with one machine, and %d tenants send %v times their usual", hotTenants, hotFactor)
--- a/review/standins-2/pool.go
+++ b/review/standins-2/platform/pool.go
@@ -15,7 +15,7 @@
 	cancel   chan struct{}
 	clients  sync.WaitGroup
 
-	mu        sync.Mutex
+	mu        guard
 	searchers []*searcher
 	lastID    int
 	seen      []arrival
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &pool{play: p, store: st, arrivals: make(chan arrival, 1<<16), cancel: make(chan struct{}), answers: make(map[int]int), ranIDs: make(map[string]int), sentTo: make(map[string]*machine)}
+	o := &pool{mu: newGuard(), play: p, store: st, arrivals: make(chan arrival, 1<<16), cancel: make(chan struct{}), answers: make(map[int]int), ranIDs: make(map[string]int), sentTo: make(map[string]*machine)}
 	st.put(configKey, c)
 	for _, sc := range searchers {
 		if _, err := o.addSearcher(sc, "", false, setUp); err != nil {
--- a/review/standins-2/record.go
+++ b/review/standins-2/platform/record.go
@@ -3,14 +3,13 @@
 import (
 	"fmt"
 	"os"
-	"sync"
 	"time"
 )
 
 // record is the file that lists what was sent, answered and run. It is safe for
 // concurrent use.
 type record struct {
-	mu    sync.Mutex
+	mu    guard
 	file  *os.File
 	start time.Time
 }
@@ -20,7 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, start: time.Now()}, nil
+	return &record{mu: newGuard(), file: f, start: time.Now()}, nil
 }
 
 // add writes a line with the time since the start in seconds.
--- a/review/standins-2/searcher.go
+++ b/review/standins-2/platform/searcher.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -48,7 +47,7 @@
 	listener net.Listener
 	slotFree chan struct{}
 
-	mu       sync.Mutex
+	mu       guard
 	conns    map[net.Conn]bool
 	waiting  int
 	running  int
@@ -64,7 +63,7 @@
 // entry is in the store before it accepts connections.
 func startSearcher(c searcherConfig, id string, cold bool, st *store, arrivals chan<- arrival) (*searcher, error) {
 	s := &searcher{
-		searcherConfig: c, id: id, born: time.Now().UnixMilli(), store: st, arrivals: arrivals,
+		searcherConfig: c, mu: newGuard(), id: id, born: time.Now().UnixMilli(), store: st, arrivals: arrivals,
 		slotFree: make(chan struct{}, c.slots), conns: make(map[net.Conn]bool), end: make(chan struct{}),
 	}
 	if cold {
--- a/review/standins-2/store.go
+++ b/review/standins-2/platform/store.go
@@ -7,7 +7,6 @@
 	"sort"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -32,7 +31,7 @@
 	address string
 	server  *http.Server
 
-	mu       sync.Mutex
+	mu       guard
 	items    map[string]item
 	history  []item
 	revision uint64
@@ -48,7 +47,7 @@
 		return nil, err
 	}
 	s := &store{
-		address: l.Addr().String(), items: make(map[string]item), revision: 1, changed: make(chan struct{}),
+		address: l.Addr().String(), mu: newGuard(), items: make(map[string]item), revision: 1, changed: make(chan struct{}),
 		beats: make(map[string]time.Time), stop: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
