Log why a store outage was found, and when requests become blocked

Neither log told the hypotheses of two open faults apart. store_outage_ended did not say which VMs had failed to read the store, and the block of a request that crashes targets began and ended without a line.

store_outage_ended names the VMs whose reads failed and the number of VMs in touch. request_blocked and request_unblocked carry the fingerprint and the crashes that this VM knows of.

--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -155,6 +155,7 @@
 	wasBusy           bool          // result of isBusy in the last step
 	answeredInterval  time.Duration // announced in the last heartbeat that was answered
 	timeouts          routeTimeouts
+	blocked           map[uint64]bool // View.Blocked of the last view
 	viewDirty         bool
 	actions           []Action
 }
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -225,6 +225,8 @@
 // far as it knows.
 type OutageEnded struct {
 	CopyAge time.Duration // since the copy was confirmed last
+	Failed  []fleet.VMID  // VMs whose reads had failed since then, sorted
+	VMs     int           // VMs in touch, this one included
 }
 
 // PeerLost reports that a VM is no longer a member: it became unresponsive, or its
--- a/core/mesh/outage.go
+++ b/core/mesh/outage.go
@@ -1,6 +1,11 @@
 package mesh
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/anvilfork/anvilfork/core/fleet"
+)
 
 // A target's entry goes missing for one of two reasons: it was removed, or it lapsed
 // because its target could not reach the store. Only the second kind is worth waiting
@@ -78,11 +83,27 @@
 func (m *Machine) noteStoreRead(now time.Time) {
 	if !m.outage.awayAt.IsZero() {
 		m.outage.regainedAt = now
-		m.emit(OutageEnded{CopyAge: now.Sub(m.storeCopy.ConfirmedAt())})
+		m.emit(OutageEnded{CopyAge: now.Sub(m.storeCopy.ConfirmedAt()), Failed: m.failedVMs(), VMs: len(m.members) + 1})
 	}
 	m.outage.failingSince, m.outage.awayAt = time.Time{}, time.Time{}
 }
 
+// failedVMs returns the VMs whose reads are known to have failed since the copy was last
+// confirmed, sorted.
+func (m *Machine) failedVMs() []fleet.VMID {
+	var failed []fleet.VMID
+	if !m.outage.failingSince.IsZero() {
+		failed = append(failed, m.self.ID)
+	}
+	for id, peer := range m.members {
+		if peer.node.StoreFailing && peer.failingAt.After(m.storeCopy.ConfirmedAt()) {
+			failed = append(failed, id)
+		}
+	}
+	slices.Sort(failed)
+	return failed
+}
+
 // forgetOldFailures drops what was known from before the last confirmation of the copy:
 // a VM has read the store since. The same confirmation may come again, a little later
 // each time, from other VMs.
--- a/core/mesh/view.go
+++ b/core/mesh/view.go
@@ -64,5 +64,6 @@
 			v.Blocked[fp] = true
 		}
 	}
+	m.reportBlocks(v.Blocked)
 	return v
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/anvilfork/anvilfork/core/catalog"
+	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mesh"
 	"github.com/anvilfork/anvilfork/core/serve"
 )
@@ -90,7 +92,14 @@
 		t.log.Info().Str("event", "store_regained").Msg("the platform's store answers again")
 	case mesh.OutageEnded:
 		t.log.Warn().Str("event", "store_outage_ended").Int64("copy_age_ms", a.CopyAge.Milliseconds()).
+			Strs("failed_vms", vmNames(a.Failed)).Int("vms", a.VMs).
 			Msg("no VM could read the platform's store; entries that are missing may have lapsed")
+	case mesh.RequestBlocked:
+		t.log.Warn().Str("event", "request_blocked").Str("fingerprint", formatFingerprint(a.Fingerprint)).
+			Int("crashes", a.Crashes).Int("counters", a.Counters).Msg("requests with this fingerprint crash targets and are blocked")
+	case mesh.RequestUnblocked:
+		t.log.Warn().Str("event", "request_unblocked").Str("fingerprint", formatFingerprint(a.Fingerprint)).
+			Int("crashes", a.Crashes).Msg("requests with this fingerprint are blocked no longer")
 	case mesh.StoreRewound:
 		t.logRewind(a)
 	case mesh.EraIgnored:
@@ -234,16 +243,18 @@
 func (t *controlTask) applyView(v *mesh.View) {
 	if v.Reader != t.isReader {
 		t.isReader = v.Reader
-		t.log.Info().Str("event", "reader_changed").Bool("reader", v.Reader).Strs("hubs", hubNames(v)).Msg("the hubs that read the store changed")
+		t.log.Info().Str("event", "reader_changed").Bool("reader", v.Reader).Strs("hubs", vmNames(v.Hubs)).Msg("the hubs that read the store changed")
 	}
 	t.view = v
 	t.engine <- engineMsg{event: serve.FleetChanged{View: v}}
 }
 
-func hubNames(v *mesh.View) []string {
-	names := make([]string, 0, len(v.Hubs))
-	for _, h := range v.Hubs {
-		names = append(names, string(h))
+func vmNames(ids []fleet.VMID) []string {
+	names := make([]string, 0, len(ids))
+	for _, id := range ids {
+		names = append(names, string(id))
 	}
 	return names
 }
+
+func formatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
