Ask a sample of VMs before the store counts as away

The fourth VM's first read was taken for the end of an outage, and missing targets were kept for another 2.2 s.

Change: a VM whose read fails tells a panel of VMs at once, which read without waiting. The store was away if three quarters of the panel failed since the copy was last confirmed. The panel is one VM of each zone in turn, by a hash of their ids, nine in all or the whole fleet. A VM that has lost touch with half of the fleet decides nothing, and the evidence is judged in each step, as the fleet may shrink. Any VM that has read changes forwards them to all zones. store_out_of_reach and two counters tell the two cases apart.

Why it works: an outage fails for VMs that have nothing in common, and a VM that can read shows within a round trip that there is none.

One failed read costs a read of each VM of the panel, at most nine.

--- a/core/mesh/copy.go
+++ b/core/mesh/copy.go
@@ -41,7 +41,7 @@
 	m.storeCopy.Confirm(asOf, at)
 	if m.storeCopy.ConfirmedAt().After(before) {
 		m.viewDirty = true
-		m.forgetOldFailures()
+		m.copyConfirmed()
 	}
 }
 
--- a/core/mesh/delta.go
+++ b/core/mesh/delta.go
@@ -49,7 +49,7 @@
 	}
 	m.learnRegained(now, d.RegainedAge)
 	m.applyUpdate(now, d.Update, nil)
-	m.forwardChanges(now)
+	m.forwardChanges(now, false)
 }
 
 // applyReplyUpdate merges and forwards the update in the reply to a heartbeat. A
@@ -61,7 +61,7 @@
 		m.forwarded = m.storeCopy.Version()
 		return
 	}
-	m.forwardChanges(now)
+	m.forwardChanges(now, false)
 }
 
 // handleForwardFailed forwards a delta to the children of the VM that did not take
@@ -72,11 +72,12 @@
 	}
 }
 
-// forwardChanges sends the changes since the last call to this VM's children, and
-// from the reader also to the roots of all zones. In a small fleet heartbeats are as
+// forwardChanges sends the changes since the last call to this VM's children, and also
+// to the roots of all zones if this VM has read them from the store: the reader, or
+// another one while the reader can't. In a small fleet heartbeats are as
 // frequent as the reads of the store and bring the changes nearly as early with
 // fewer calls, so nothing is forwarded.
-func (m *Machine) forwardChanges(now time.Time) {
+func (m *Machine) forwardChanges(now time.Time, fromStore bool) {
 	if m.idleHeartbeatInterval() <= minHeartbeatInterval {
 		m.forwarded = m.storeCopy.Version()
 		return
@@ -93,7 +94,7 @@
 		return
 	}
 	to := m.children(now, m.self)
-	if m.isReader() {
+	if fromStore {
 		to = append(to, m.zoneRoots(now)...)
 	}
 	for _, node := range to {
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -103,13 +103,38 @@
 			c = &heartbeatState{nextAt: now}
 			m.heartbeats[addr] = c
 		}
-		if c.inFlight || now.Before(c.nextAt) {
+		if !c.inFlight && !now.Before(c.nextAt) {
+			m.sendHeartbeat(addr, c, false)
+		}
+	}
+	if m.alertPanel {
+		m.alertPanel = false
+		m.sendAlerts()
+	}
+}
+
+func (m *Machine) sendHeartbeat(addr string, c *heartbeatState, alert bool) {
+	c.inFlight, c.alert = true, alert
+	c.interval = m.heartbeatInterval()
+	c.prevDemand, c.sentDemand = c.sentDemand, m.localDemand
+	m.emit(SendHeartbeat{Peer: addr, Request: m.heartbeatRequest(addr)})
+}
+
+// sendAlerts sends a heartbeat to each VM of the panel that gets none otherwise.
+func (m *Machine) sendAlerts() {
+	for _, id := range m.outage.panel {
+		peer := m.members[id]
+		if peer == nil || slices.Contains(m.heartbeatAddrs, peer.node.Peer) {
 			continue
 		}
-		c.inFlight = true
-		c.interval = m.heartbeatInterval()
-		c.prevDemand, c.sentDemand = c.sentDemand, m.localDemand
-		m.emit(SendHeartbeat{Peer: addr, Request: m.heartbeatRequest(addr)})
+		c := m.heartbeats[peer.node.Peer]
+		if c == nil {
+			c = &heartbeatState{}
+			m.heartbeats[peer.node.Peer] = c
+		}
+		if !c.inFlight {
+			m.sendHeartbeat(peer.node.Peer, c, true)
+		}
 	}
 }
 
@@ -235,8 +260,9 @@
 // handleReply merges what the reply reports: members, demand, blocked requests,
 // changes of the store and the age of the copy. It schedules the next heartbeat.
 func (m *Machine) handleReply(now time.Time, ev HeartbeatAnswered) {
-	demand := hubDemand{sentAt: ev.Sent}
+	demand, alert := hubDemand{sentAt: ev.Sent}, false
 	if c := m.heartbeats[ev.Peer]; c != nil {
+		alert = c.alert
 		demand.own, demand.ttl = m.limitSurge(c.sentDemand, c.prevDemand), shareTTL(c.interval)
 		m.answeredInterval = c.interval
 		c.inFlight, c.answered, c.hubSum = false, true, ev.Reply.TimeoutsSum
@@ -259,8 +285,10 @@
 	m.mergeTimeouts(reply.Timeouts)
 	hub.blocked, hub.reportedAt = reply.Blocked, now
 	m.setPressing(&hub.toldPressing, reply.Pressing)
-	demand.totals = reply.FleetDemand
-	m.hubDemands[hub.node.ID] = demand
+	if !alert { // a VM that is no hub knows the demand of few VMs
+		demand.totals = reply.FleetDemand
+		m.hubDemands[hub.node.ID] = demand
+	}
 	m.learnRegained(ev.Sent, reply.RegainedAge)
 	m.mergeStore(now, ev.Sent, reply)
 	m.viewDirty = true
--- a/core/mesh/hubs.go
+++ b/core/mesh/hubs.go
@@ -11,9 +11,9 @@
 // answers the whole fleet, which takes a weak VM seconds after a restart of all.
 const seniorityStep = 10 * time.Second
 
-// hubCandidates returns all VMs that may be hubs, the longest-running first. VMs
-// whose reads of the store fail come last.
-func (m *Machine) hubCandidates() []Node {
+// stayingNodes returns this VM and all members but those that are shutting down, in no
+// order.
+func (m *Machine) stayingNodes() []Node {
 	nodes := make([]Node, 0, len(m.members)+1)
 	if m.self.Phase != Leaving {
 		nodes = append(nodes, m.self)
@@ -23,6 +23,13 @@
 			nodes = append(nodes, peer.node)
 		}
 	}
+	return nodes
+}
+
+// hubCandidates returns all VMs that may be hubs, the longest-running first. VMs
+// whose reads of the store fail come last.
+func (m *Machine) hubCandidates() []Node {
+	nodes := m.stayingNodes()
 	slices.SortFunc(nodes, func(a, b Node) int {
 		if a.StoreDenied != b.StoreDenied {
 			if a.StoreDenied {
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -104,6 +104,7 @@
 type heartbeatState struct {
 	inFlight    bool
 	answered    bool // at least one heartbeat was answered
+	alert       bool // the last heartbeat was sent only to tell of failing reads, to a VM that may be no hub
 	nextAt      time.Time
 	interval    time.Duration     // announced in the last heartbeat
 	sentDemand  []WorkspaceDemand // demand in the last heartbeat
@@ -142,6 +143,7 @@
 	nextReadAt        time.Time
 	readFailures      int
 	outage            outageEvidence
+	alertPanel        bool           // the next heartbeats go to the panel too
 	forwarded         mirror.Version // version of the store up to which changes were forwarded
 	readFrom          mirror.Version // version after which the read in flight reads; zero for a listing
 	eras              eraEvidence
@@ -211,6 +213,7 @@
 	case Tick:
 	}
 	m.expire(now)
+	m.detectOutage(now)
 	m.announceStoreFailing(now)
 	m.chooseHubs(now)
 	if partitioned := m.isPartitioned(now); partitioned != m.partitioned {
--- a/core/mesh/members.go
+++ b/core/mesh/members.go
@@ -25,7 +25,10 @@
 		switch {
 		case peer.connRefused:
 			delete(m.peerDemands, id)
-		case peer.node.Phase != Leaving:
+			m.outage.fleetSize--
+		case peer.node.Phase == Leaving:
+			m.outage.fleetSize--
+		default:
 			m.unresponsiveSince[id] = now
 		}
 		m.viewDirty = true
@@ -56,19 +59,19 @@
 	switch {
 	case peer == nil:
 		peer = &member{node: n}
-		m.noteStoreFailing(now, peer, false)
 		m.members[n.ID] = peer
+		m.noteStoreFailing(now, peer, Node{StoreDenied: n.StoreDenied})
 		m.markChanged(peer)
 		m.emit(PeerFound{Node: n})
 	case n.StartedUnixMs < peer.node.StartedUnixMs, n.StartedUnixMs == peer.node.StartedUnixMs && n.Edition < peer.node.Edition:
 		return nil // from an earlier process of that VM, or an earlier record
 	case peer.node != n:
-		wasFailing := peer.node.StoreFailing
+		before := peer.node
 		if n.StartedUnixMs != peer.node.StartedUnixMs {
-			*peer = member{}
+			*peer, before = member{}, Node{StoreDenied: n.StoreDenied}
 		}
 		peer.node = n
-		m.noteStoreFailing(now, peer, wasFailing)
+		m.noteStoreFailing(now, peer, before)
 		m.markChanged(peer)
 	}
 	peer.gone, peer.connRefused = false, false
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -34,10 +34,12 @@
 	store          []mirror.Entry
 	revision       uint64
 	storeDenied    map[fleet.VMID]bool // the store refuses their reads
+	storeMute      map[fleet.VMID]bool // the store answers none of their reads
 	storeDown      bool
 	storeSilent    bool                // the store answers nothing
 	frozen         map[fleet.VMID]bool // VMs whose process is suspended
 	partitioned    map[fleet.VMID]bool // VMs cut off from all others and from the store
+	isolated       map[fleet.VMID]bool // VMs cut off from all others only
 	storeCalls     int                 // reads sent to the store
 	heartbeatsSent int
 	dropsDeltas    map[fleet.VMID]bool // VMs that receive no deltas
@@ -81,7 +83,7 @@
 
 func newSimulation(t *testing.T, vms int) *simulation {
 	s := &simulation{
-		t: t, now: epoch, vms: make(map[fleet.VMID]*vm), storeDenied: make(map[fleet.VMID]bool), partitioned: make(map[fleet.VMID]bool),
+		t: t, now: epoch, vms: make(map[fleet.VMID]*vm), storeDenied: make(map[fleet.VMID]bool), storeMute: make(map[fleet.VMID]bool), isolated: make(map[fleet.VMID]bool), partitioned: make(map[fleet.VMID]bool),
 		dropsDeltas: make(map[fleet.VMID]bool), deltasSent: make(map[fleet.VMID]int), frozen: make(map[fleet.VMID]bool), revision: 1,
 	}
 	for i := range vms {
@@ -182,7 +184,7 @@
 	s.heartbeatsSent++
 	to, reachable := s.vms[fleet.VMID(a.Peer)]
 	sent := s.now
-	if !reachable || s.partitioned[from] || s.partitioned[fleet.VMID(a.Peer)] || s.frozen[fleet.VMID(a.Peer)] {
+	if !reachable || s.cutOff(from) || s.cutOff(fleet.VMID(a.Peer)) || s.frozen[fleet.VMID(a.Peer)] {
 		s.schedule(from, 900*time.Millisecond, func() Event { return HeartbeatFailed{Peer: a.Peer} })
 		return
 	}
@@ -195,6 +197,9 @@
 	s.schedule(to.node.ID, linkDelay, func() Event { return Heartbeat{Request: request, Ticket: back} })
 }
 
+// cutOff reports whether a VM reaches no other one.
+func (s *simulation) cutOff(id fleet.VMID) bool { return s.partitioned[id] || s.isolated[id] }
+
 // replyDelay returns how long the reply to a heartbeat is under way, which varies.
 func (s *simulation) replyDelay() time.Duration {
 	return linkDelay + time.Duration(s.heartbeatsSent%3)*stepInterval
@@ -204,7 +209,7 @@
 	s.deltasSent[from]++
 	to := s.vms[a.To.ID]
 	switch {
-	case s.partitioned[from] || s.partitioned[a.To.ID] || s.dropsDeltas[a.To.ID]:
+	case s.cutOff(from) || s.cutOff(a.To.ID) || s.dropsDeltas[a.To.ID]:
 		s.schedule(from, 900*time.Millisecond, func() Event { return ForwardFailed(a) })
 	case !to.running:
 		s.schedule(from, linkDelay, func() Event { return ForwardFailed(a) })
@@ -216,7 +221,7 @@
 
 func (s *simulation) readStore(id fleet.VMID, a ReadStore) {
 	s.storeCalls++
-	if s.storeSilent {
+	if s.storeSilent || s.storeMute[id] {
 		s.schedule(id, a.Wait+storeGrace, func() Event { return StoreFailed{} })
 		return
 	}
@@ -240,7 +245,7 @@
 // watchStore answers a read as soon as there is a change, which it checks in every
 // step, or when its timeout has passed.
 func (s *simulation) watchStore(id fleet.VMID, a ReadStore, sent time.Time, changed func() []mirror.Entry) {
-	if s.storeSilent || s.now.Sub(sent) > a.Wait+storeGrace {
+	if s.storeSilent || s.storeMute[id] || s.now.Sub(sent) > a.Wait+storeGrace {
 		s.schedule(id, max(a.Wait+storeGrace-s.now.Sub(sent), 0), func() Event { return StoreFailed{} })
 		return
 	}
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -225,8 +225,16 @@
 // far as it knows.
 type OutageEnded struct {
 	CopyAge time.Duration // since the copy was confirmed last
-	Failed  []fleet.VMID  // VMs whose reads had failed since then, sorted
-	VMs     int           // VMs in touch, this one included
+	Failed  []fleet.VMID  // VMs whose reads are known to have failed since then, sorted
+	Panel   int           // VMs whose reads decide
+}
+
+// OutageRefuted reports that this VM read the store while the reads of some other VMs
+// failed: it is only out of their reach.
+type OutageRefuted struct {
+	CopyAge time.Duration // since the copy was confirmed last
+	Failed  []fleet.VMID  // VMs whose reads are known to have failed since then, sorted
+	Panel   int           // VMs whose reads decide
 }
 
 // PeerLost reports that a VM is no longer a member: it became unresponsive, or its
@@ -247,6 +255,7 @@
 func (StoreLost) action()       {}
 func (StoreRecovered) action()  {}
 func (OutageEnded) action()     {}
+func (OutageRefuted) action()   {}
 func (PeerLost) action()        {}
 func (PeerFound) action()       {}
 
@@ -275,6 +284,8 @@
 // StoreState describes the copy of the store.
 type StoreState struct {
 	Era     uint64
+	Outages int                   // outages that this VM was the first to find ended
+	Refuted int                   // times that it read the store while the reads of some other VMs failed
 	Rewinds int                   // times that the era changed since the start of this VM
 	Ignored int                   // reads that were ignored because of their era
 	Kept    map[mirror.Reason]int // entries that are kept past a rewind
--- a/core/mesh/outage.go
+++ b/core/mesh/outage.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,14 +14,22 @@
 // for, and only two faults of the store cause it: an outage, and the return from an
 // older copy, which the era of its answers shows. An old copy of this VM shows no
 // outage: the reader may have been frozen or cut off, while the targets reached the
-// store all the time. So the fleet decides by reads that were tried and not answered, of several VMs,
-// since the copy was last confirmed. The VM that reads the store, or its new era, first
-// decides, and tells the others together with the entries.
+// store all the time. A few VMs whose reads fail show none either: they may have lost
+// their own ways to the store. So the first failed read makes a panel of VMs read at
+// once, and the store was away if three quarters of them fail since the copy was last confirmed.
+// The VM that reads the store, or its new era, first decides, and tells the others
+// together with the entries.
 
 const (
-	// outageWitnesses is the number of VMs whose reads must have failed. One or two
-	// may have lost their own ways to the store. A smaller fleet needs all its VMs.
-	outageWitnesses = 3
+	// outagePanelSize is the number of VMs whose reads decide whether the store is
+	// away. A smaller fleet asks all its VMs.
+	outagePanelSize = 9
+	// maxOutageDissent is the inverse of the share of the panel whose reads need not have
+	// failed in an outage: these VMs may be frozen, or about to be found gone.
+	maxOutageDissent = 4
+	// probeWait is the timeout of a read that a VM of the panel makes because the reads
+	// of another one fail. It only has to be answered.
+	probeWait = 20 * time.Millisecond
 	// overdueAfter is the time beyond a watch's timeout after which the store does
 	// not answer it.
 	overdueAfter = 500 * time.Millisecond
@@ -33,17 +43,78 @@
 
 // outageEvidence is what a VM knows about outages of the store.
 type outageEvidence struct {
-	wakeAt       time.Time // when the next step was due, as of the last one
-	judgedFrom   time.Time // start of the read in flight; zero if its duration or failure says nothing
-	listing      bool      // the read in flight is a listing, which may take long
-	failingSince time.Time // start of the first read that failed since the copy was last confirmed; zero for none
-	awayAt       time.Time // when the store was found to be away, if it has answered nobody since; else zero
-	regainedAt   time.Time // when the store was read again after its last outage, or first in its present era
+	panel        []fleet.VMID  // VMs whose reads decide, as of the last view
+	fleetSize    int           // number of VMs that this VM knew when the copy was last confirmed, without those whose processes have ended since
+	wakeAt       time.Time     // when the next step was due, as of the last one
+	judgedFrom   time.Time     // start of the read in flight; zero if its duration or failure says nothing
+	readWait     time.Duration // timeout of the read in flight
+	listing      bool          // the read in flight is a listing, which may take long
+	failingSince time.Time     // start of the first read that failed since the copy was last confirmed; zero for none
+	awayAt       time.Time     // when the store was found to be away, if it has answered nobody since; else zero
+	regainedAt   time.Time     // when the store was read again after its last outage, or first in its present era
+	outages      int           // outages that this VM was the first to find ended
+	refuted      int           // times that it read the store while the reads of some others failed
+}
+
+// choosePanel returns the VMs whose reads decide whether the store is away. They are a
+// sample of the fleet, since VMs that started together, are of one availability zone or
+// read the store in turn may lose it together: one of each zone in turn, in the order of
+// a hash of their ids.
+func choosePanel(nodes []Node) []fleet.VMID {
+	if len(nodes) <= outagePanelSize {
+		panel := make([]fleet.VMID, 0, len(nodes))
+		for _, n := range nodes {
+			panel = append(panel, n.ID)
+		}
+		return panel
+	}
+	type sampled struct {
+		id   fleet.VMID
+		hash uint32
+	}
+	byZone := make(map[string][]sampled)
+	for _, n := range nodes {
+		byZone[n.Zone] = append(byZone[n.Zone], sampled{n.ID, hashID(n.ID)})
+	}
+	zones := slices.Sorted(maps.Keys(byZone))
+	for _, zone := range zones {
+		slices.SortFunc(byZone[zone], func(a, b sampled) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id)) })
+	}
+	panel := make([]fleet.VMID, 0, outagePanelSize)
+	for round := 0; ; round++ {
+		for _, zone := range zones {
+			if len(panel) == outagePanelSize {
+				return panel
+			}
+			if round < len(byZone[zone]) {
+				panel = append(panel, byZone[zone][round].id)
+			}
+		}
+	}
+}
+
+// isPanelMember reports whether this VM belongs to the panel.
+func (m *Machine) isPanelMember() bool { return slices.Contains(m.outage.panel, m.self.ID) }
+
+// probeDue returns when this VM reads the store because the reads of another VM fail, so
+// that it is known soon whether the store is away or only out of that VM's reach. Zero
+// means never.
+func (m *Machine) probeDue() time.Time {
+	if !m.outage.failingSince.IsZero() || !m.isPanelMember() {
+		return time.Time{}
+	}
+	var first time.Time
+	for _, peer := range m.members {
+		if m.failsToRead(peer) && (first.IsZero() || peer.failingAt.Before(first)) {
+			first = peer.failingAt
+		}
+	}
+	return first
 }
 
 // readStarted records the start of a read of the store.
-func (o *outageEvidence) readStarted(now time.Time, listing bool) {
-	o.judgedFrom, o.listing = now, listing
+func (o *outageEvidence) readStarted(now time.Time, wait time.Duration, listing bool) {
+	o.judgedFrom, o.readWait, o.listing = now, wait, listing
 }
 
 // detectSuspension disregards the read in flight if this process did not run for a
@@ -61,31 +132,44 @@
 	if !m.readInFlight || o.listing || o.judgedFrom.IsZero() || !o.failingSince.IsZero() {
 		return time.Time{}
 	}
-	return o.judgedFrom.Add(watchTimeout + overdueAfter)
+	return o.judgedFrom.Add(o.readWait + overdueAfter)
 }
 
 // detectOverdueRead counts a read that is not answered in time as failed.
 func (m *Machine) detectOverdueRead(now time.Time) {
 	if due := m.readOverdueAt(); !due.IsZero() && !now.Before(due) {
-		m.noteReadFailed(now)
+		m.noteReadFailed()
 	}
 }
 
 // noteReadFailed records that the read in flight failed.
-func (m *Machine) noteReadFailed(now time.Time) {
-	if o := &m.outage; o.failingSince.IsZero() {
-		o.failingSince = o.judgedFrom
-		m.detectOutage(now)
+func (m *Machine) noteReadFailed() {
+	if m.outage.failingSince.IsZero() {
+		m.outage.failingSince = m.outage.judgedFrom
 	}
 }
 
-// noteStoreRead records that the store was read, which ends an outage.
+// noteStoreRead records that the store was read, which ends an outage, or shows that
+// there is none although the reads of some VMs fail.
 func (m *Machine) noteStoreRead(now time.Time) {
-	if !m.outage.awayAt.IsZero() {
-		m.outage.regainedAt = now
-		m.emit(OutageEnded{CopyAge: now.Sub(m.storeCopy.ConfirmedAt()), Failed: m.failedVMs(), VMs: len(m.members) + 1})
+	o := &m.outage
+	failed := m.failedVMs()
+	switch copyAge := now.Sub(m.storeCopy.ConfirmedAt()); {
+	case !o.awayAt.IsZero():
+		o.regainedAt = now
+		o.outages++
+		m.emit(OutageEnded{CopyAge: copyAge, Failed: failed, Panel: len(o.panel)})
+	case len(failed) > 0 && !slices.Equal(failed, []fleet.VMID{m.self.ID}):
+		o.refuted++
+		m.emit(OutageRefuted{CopyAge: copyAge, Failed: failed, Panel: len(o.panel)})
 	}
-	m.outage.failingSince, m.outage.awayAt = time.Time{}, time.Time{}
+	o.failingSince, o.awayAt = time.Time{}, time.Time{}
+}
+
+// failsToRead reports whether the reads of another VM are known to have failed since the
+// copy was last confirmed.
+func (m *Machine) failsToRead(peer *member) bool {
+	return peer.failingAt.After(m.storeCopy.ConfirmedAt())
 }
 
 // failedVMs returns the VMs whose reads are known to have failed since the copy was last
@@ -96,7 +180,7 @@
 		failed = append(failed, m.self.ID)
 	}
 	for id, peer := range m.members {
-		if peer.node.StoreFailing && peer.failingAt.After(m.storeCopy.ConfirmedAt()) {
+		if m.failsToRead(peer) {
 			failed = append(failed, id)
 		}
 	}
@@ -104,10 +188,10 @@
 	return failed
 }
 
-// forgetOldFailures drops what was known from before the last confirmation of the copy:
-// a VM has read the store since. The same confirmation may come again, a little later
-// each time, from other VMs.
-func (m *Machine) forgetOldFailures() {
+// copyConfirmed drops what was known from before the last confirmation of the copy: a VM
+// has read the store since. The same confirmation may come again, a little later each
+// time, from other VMs.
+func (m *Machine) copyConfirmed() {
 	o := &m.outage
 	if m.storeCopy.ConfirmedAt().After(o.failingSince) {
 		o.failingSince = time.Time{}
@@ -115,13 +199,18 @@
 	if m.storeCopy.ConfirmedAt().After(o.awayAt) {
 		o.awayAt = time.Time{}
 	}
+	o.fleetSize = len(m.members) + 1
 }
 
-// detectOutage finds the store away if enough VMs know of no answer since the copy was
-// last confirmed.
+// detectOutage finds the store away if enough VMs of the panel know of no answer since
+// the copy was last confirmed. A VM that has lost touch with most of the fleet since then
+// decides nothing: the others may read the store.
 func (m *Machine) detectOutage(now time.Time) {
+	if 2*(len(m.members)+1) <= m.outage.fleetSize {
+		return
+	}
 	witnesses, needed := m.otherWitnesses(now)
-	if !m.outage.failingSince.IsZero() {
+	if !m.outage.failingSince.IsZero() && m.isPanelMember() {
 		witnesses++
 	}
 	if m.outage.awayAt.IsZero() && witnesses >= needed {
@@ -129,25 +218,32 @@
 	}
 }
 
-// otherWitnesses returns the number of other VMs whose reads have failed since the copy
-// was last confirmed, and how many VMs, this one included, show an outage.
+// otherWitnesses returns the number of other VMs of the panel whose reads have failed
+// since the copy was last confirmed, and how many VMs of the panel, this one included,
+// show an outage.
 func (m *Machine) otherWitnesses(now time.Time) (witnesses, needed int) {
-	vms := 1
-	for _, peer := range m.members {
-		if peer.node.Phase == Leaving || now.Sub(peer.lastSeen) > m.memberTimeout(peer) {
-			continue
-		}
-		vms++
-		if peer.node.StoreFailing && peer.failingAt.After(m.storeCopy.ConfirmedAt()) {
+	asked := 0
+	for _, id := range m.outage.panel {
+		peer := m.members[id]
+		switch {
+		case id == m.self.ID:
+			asked++
+		case peer == nil || peer.node.Phase == Leaving || now.Sub(peer.lastSeen) > m.memberTimeout(peer):
+			// gone
+		case m.failsToRead(peer):
+			asked++
 			witnesses++
+		default:
+			asked++
 		}
 	}
-	return witnesses, min(outageWitnesses, vms)
+	return witnesses, max(asked-asked/maxOutageDissent, 1)
 }
 
 // announceStoreFailing tells the others whether this VM's reads of the store fail. A
-// failure that enough others report already is not announced, since in an outage the
-// reads of a whole fleet fail.
+// failure is told to the panel without delay: in a large fleet the next heartbeats of its
+// VMs are seconds away. One that enough others report already is not announced, since in
+// an outage the reads of a whole fleet fail.
 func (m *Machine) announceStoreFailing(now time.Time) {
 	failing := !m.outage.failingSince.IsZero()
 	if failing == m.self.StoreFailing {
@@ -158,13 +254,18 @@
 	}
 	m.self.StoreFailing = failing
 	m.markSelfChanged(now)
+	m.alertPanel = failing
 }
 
-// noteStoreFailing records when this VM learned that the reads of another fail.
-func (m *Machine) noteStoreFailing(now time.Time, peer *member, wasFailing bool) {
-	if peer.node.StoreFailing && !wasFailing {
+// noteStoreFailing records when this VM learned that the reads of another fail, given
+// that VM's record before. A VM of an earlier build may report StoreDenied alone.
+func (m *Machine) noteStoreFailing(now time.Time, peer *member, before Node) {
+	after := peer.node
+	switch {
+	case before.StoreFailing && !after.StoreFailing:
+		peer.failingAt = time.Time{}
+	case after.StoreFailing && !before.StoreFailing, after.StoreDenied && !before.StoreDenied && !after.StoreFailing:
 		peer.failingAt, peer.lastSeen = now, now
-		m.detectOutage(now)
 	}
 }
 
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/anvilfork/anvilfork/core/fleet"
 	"github.com/anvilfork/anvilfork/core/mirror"
 )
 
@@ -23,9 +24,18 @@
 	if m.needsListing {
 		m.readFrom = mirror.Version{}
 	}
-	after := m.readFrom.Revision
-	m.outage.readStarted(now, after == 0)
-	m.emit(ReadStore{After: after, Wait: watchTimeout})
+	after, wait := m.readFrom.Revision, watchTimeout
+	if m.isProbe(now) {
+		wait = probeWait
+	}
+	m.outage.readStarted(now, wait, after == 0)
+	m.emit(ReadStore{After: after, Wait: wait})
+}
+
+// isProbe reports whether a read that starts at now only has to show whether the store
+// answers this VM.
+func (m *Machine) isProbe(now time.Time) bool {
+	return m.hasCopy() && !m.isReader() && now.Before(m.fallbackReadDue())
 }
 
 // readDue returns when this VM reads the store next; zero means never. The reader
@@ -43,10 +53,20 @@
 	if m.isReader() {
 		return due
 	}
+	fallback := m.fallbackReadDue()
+	if probe := m.probeDue(); !probe.IsZero() {
+		fallback = earlier(fallback, probe)
+	}
+	return later(due, fallback)
+}
+
+// fallbackReadDue returns when a VM that is not the reader, and has a copy, reads the
+// store because the copy was not confirmed for too long.
+func (m *Machine) fallbackReadDue() time.Time {
 	if m.storeCopy.ConfirmedAt().IsZero() { // forwarded by another VM as a delta
-		return later(due, m.firstReadDue())
+		return m.firstReadDue()
 	}
-	return later(due, m.storeCopy.ConfirmedAt().Add(m.fallbackReadAge()+m.rankDelay()))
+	return m.storeCopy.ConfirmedAt().Add(m.fallbackReadAge() + m.rankDelay())
 }
 
 // rankDelay returns how much longer than the first hub candidate this VM waits
@@ -70,19 +90,23 @@
 		return m.started.Add(initialHeartbeatInterval + time.Duration(i)*seedReadDelay)
 	}
 	if len(m.members) == 0 {
-		return m.started.Add(noPeerReadDelay + hashJitter(noPeerReadJitter, string(m.self.ID)))
+		return m.started.Add(noPeerReadDelay + hashJitter(noPeerReadJitter, m.self.ID))
 	}
 	if m.fleetSize > len(m.members)+1 { // the rank among a few hubs says nothing
-		return m.started.Add(nonSeedReadDelay + hashJitter(time.Duration(m.fleetSize)*fallbackReadDelayPerRank, string(m.self.ID)))
+		return m.started.Add(nonSeedReadDelay + hashJitter(time.Duration(m.fleetSize)*fallbackReadDelayPerRank, m.self.ID))
 	}
 	return m.started.Add(nonSeedReadDelay + m.rankDelay())
 }
 
 // hashJitter returns a fraction of d that depends on a VM's id.
-func hashJitter(d time.Duration, id string) time.Duration {
+func hashJitter(d time.Duration, id fleet.VMID) time.Duration {
+	return time.Duration(float64(d) * float64(hashID(id)) / math.MaxUint32)
+}
+
+func hashID(id fleet.VMID) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // never fails
-	return time.Duration(float64(d) * float64(h.Sum32()) / math.MaxUint32)
+	return h.Sum32()
 }
 
 func later(a, b time.Time) time.Time {
@@ -108,7 +132,7 @@
 	m.noteStoreRead(now)
 	m.applyRead(now, ev.Update)
 	m.confirmCopy(ev.Update.Version(), completeAsOf(now, &ev))
-	m.forwardChanges(now)
+	m.forwardChanges(now, true)
 }
 
 // completeAsOf returns a time at which the store had nothing newer than the
@@ -138,7 +162,7 @@
 		m.nextReadAt = now
 		return
 	}
-	m.noteReadFailed(now)
+	m.noteReadFailed()
 	backoff := min(initialStoreBackoff<<min(m.readFailures, 4), maxStoreBackoff)
 	m.readFailures++
 	m.nextReadAt = now.Add(backoff)
--- a/core/mesh/view.go
+++ b/core/mesh/view.go
@@ -34,9 +34,10 @@
 	v := &View{
 		Self: m.self, Nodes: m.reachableNodes(now), Confirmed: m.storeCopy.ConfirmedAt(),
 		Blocked: make(map[uint64]bool), Reader: m.isReader(), Timeouts: m.timeouts.longest,
-		Store:    StoreState{Era: m.storeCopy.Version().Era, Rewinds: m.storeCopy.Rewinds(), Ignored: m.eras.ignored, Kept: m.storeCopy.Kept()},
+		Store:    StoreState{Era: m.storeCopy.Version().Era, Outages: m.outage.outages, Refuted: m.outage.refuted, Rewinds: m.storeCopy.Rewinds(), Ignored: m.eras.ignored, Kept: m.storeCopy.Kept()},
 		Pressing: m.allPressing(now),
 	}
+	m.outage.panel = choosePanel(m.stayingNodes())
 	v.Active = selectActive(v.Nodes, m.maxActive)
 	v.Sharers = len(v.Active)
 	if m.maxActive > 0 && now.Sub(m.started) < discoveryPeriod {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -92,8 +92,12 @@
 		t.log.Info().Str("event", "store_regained").Msg("the platform's store answers again")
 	case mesh.OutageEnded:
 		t.log.Warn().Str("event", "store_outage_ended").Int64("copy_age_ms", a.CopyAge.Milliseconds()).
-			Strs("failed_vms", vmNames(a.Failed)).Int("vms", a.VMs).
+			Strs("failed_vms", vmNames(a.Failed)).Int("panel", a.Panel).
 			Msg("no VM could read the platform's store; entries that are missing may have lapsed")
+	case mesh.OutageRefuted:
+		t.log.Warn().Str("event", "store_out_of_reach").Int64("copy_age_ms", a.CopyAge.Milliseconds()).
+			Strs("failed_vms", vmNames(a.Failed)).Int("panel", a.Panel).
+			Msg("some VMs could not read the platform's store, but this one could; entries that are missing were removed")
 	case mesh.RequestBlocked:
 		t.log.Warn().Str("event", "request_blocked").Str("fingerprint", formatFingerprint(a.Fingerprint)).
 			Int("crashes", a.Crashes).Int("counters", a.Counters).Msg("requests with this fingerprint crash targets and are blocked")
--- a/gateway/storewire.go
+++ b/gateway/storewire.go
@@ -22,7 +22,7 @@
 
 // storeMetrics returns the state of the copy of the store as it is recorded.
 func storeMetrics(s *mesh.StoreState) metrics.Store {
-	m := metrics.Store{Era: s.Era, Rewinds: s.Rewinds, Ignored: s.Ignored, Kept: make(map[string]int, len(s.Kept))}
+	m := metrics.Store{Era: s.Era, Outages: s.Outages, Refuted: s.Refuted, Rewinds: s.Rewinds, Ignored: s.Ignored, Kept: make(map[string]int, len(s.Kept))}
 	for reason, n := range s.Kept {
 		m.Kept[string(reason)] = n
 	}
--- a/metrics/expose.go
+++ b/metrics/expose.go
@@ -42,6 +42,8 @@
 	"workspace_offered_per_second":   "Queries that a workspace sent to this VM in the last minute, refused ones included.",
 	"worst_workspace_answered_ratio": "Smallest workspace_answered_ratio; 1 without queries.",
 	"store_era":                      "Era of the store that this VM has a copy of; zero if the store states none.",
+	"store_outages_total":            "Outages of the store that this VM was the first to find ended.",
+	"store_out_of_reach_total":       "Times that this VM read the store while the reads of some other VMs failed.",
 	"store_rewinds_total":            "Times that the copy of the store was replaced by one of another era.",
 	"store_reads_ignored_total":      "Reads of the store that were ignored because of the era that they state.",
 	"store_kept_entries":             "Entries that are kept although the store, back from an older copy, lacks them or has them otherwise, by reason.",
