Keep the block of a request that crashes targets when VMs that counted are gone

Other requests in flight at those targets were lost.

Cause: a content was blocked while the counts of the VMs that were members at the moment added up to three. A VM that went took its count along.

Ruled out: the age of the crashes (a minute; blocks ended after 18 s), a second fingerprint, VMs that start without the block (they log it within 3 ms).

Change: every VM keeps the blocks that it knows and tells them, with the age of the last crash, in its heartbeats and replies. They end by that age alone. Hubs keep the counts of processes that are no members any more, by process, so that a VM that returns counts once. Both are bounded. Earlier builds read the same fields as before and tell no ages; their blocks are kept for a minute after they were last told.

Why it works: what the whole fleet was told needs none of the VMs that counted any more.

--- a/core/control/partition_test.go
+++ b/core/control/partition_test.go
@@ -288,6 +288,27 @@
 	}
 }
 
+// Guards against a block that ends with the VM that reported the content or with the hub
+// that was told first.
+func TestFaultPoisonOutlastsTheVMsThatKnewFirst(t *testing.T) {
+	t.Parallel()
+	f := readyFleet(t, 8, 9)
+	fingerprint := fleet.Fingerprint{1, 2, 3}
+	reporter, hub := f.Up()[7], f.Up()[0]
+	reporter.Deliver(control.PoisonReported{Fingerprint: fingerprint, Until: f.Now.Add(10 * time.Minute)})
+	f.Run(500 * time.Millisecond)
+	reporter.Kill()
+	hub.Kill()
+	f.Run(20 * time.Second)
+	restarted := f.Start("vm101", "a")
+	within(t, f, 10*time.Second, "a new VM does not block the content", func() bool {
+		return restarted.View != nil && restarted.View.PoisonedUntil[fingerprint].After(f.Now)
+	})
+	for _, n := range f.Up() {
+		assert.Assert(t, n.View.PoisonedUntil[fingerprint].After(f.Now), "the block ended")
+	}
+}
+
 // Guards against request ids that no VM can claim, and shards without an owner,
 // while a coordinator leaves as planned: its successor may grant what it held only
 // 5 s later, so that it has to grant that to others itself.
--- a/core/mesh/era_test.go
+++ b/core/mesh/era_test.go
@@ -160,7 +160,7 @@
 	exchange := func(from, to *Machine) (published []Action) {
 		address := string(to.self.Peer)
 		from.heartbeats[address] = cmp.Or(from.heartbeats[address], &heartbeatState{})
-		asked := to.Step(epoch, Heartbeat{Request: from.heartbeatRequest(address)})
+		asked := to.Step(epoch, Heartbeat{Request: from.heartbeatRequest(epoch, address)})
 		for _, a := range asked {
 			if answer, ok := a.(AnswerHeartbeat); ok {
 				published = from.Step(epoch, HeartbeatAnswered{Peer: address, Sent: epoch, Reply: answer.Reply})
@@ -207,7 +207,7 @@
 	hub.Step(now, StoreRead{Sent: now, Update: &mirror.Update{Era: 2, Revision: 11, Entries: []mirror.Entry{zone}}})
 	hub.Step(now, StoreRead{Sent: now, Update: &mirror.Update{Full: true, Era: 2, Revision: 12}})
 	assert.Equal(t, len(hub.storeCopy.Past().Entries), 0)
-	for _, a := range hub.Step(now, Heartbeat{Request: vm.heartbeatRequest("hub")}) {
+	for _, a := range hub.Step(now, Heartbeat{Request: vm.heartbeatRequest(epoch, "hub")}) {
 		if answer, ok := a.(AnswerHeartbeat); ok {
 			assert.Assert(t, answer.Reply.Update.Full)
 			vm.Step(now, HeartbeatAnswered{Peer: "hub", Sent: now, Reply: answer.Reply})
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -104,24 +104,24 @@
 			m.heartbeats[addr] = c
 		}
 		if !c.inFlight && !now.Before(c.nextAt) {
-			m.sendHeartbeat(addr, c, false)
+			m.sendHeartbeat(now, addr, c, false)
 		}
 	}
 	if m.alertPanel {
 		m.alertPanel = false
-		m.sendAlerts()
+		m.sendAlerts(now)
 	}
 }
 
-func (m *Machine) sendHeartbeat(addr string, c *heartbeatState, alert bool) {
+func (m *Machine) sendHeartbeat(now time.Time, addr string, c *heartbeatState, alert bool) {
 	c.inFlight, c.alert = true, alert
 	c.interval = m.heartbeatInterval()
 	c.prevDemand, c.sentDemand = c.sentDemand, m.localDemand
-	m.emit(SendHeartbeat{Peer: addr, Request: m.heartbeatRequest(addr)})
+	m.emit(SendHeartbeat{Peer: addr, Request: m.heartbeatRequest(now, addr)})
 }
 
 // sendAlerts sends a heartbeat to each VM of the panel that gets none otherwise.
-func (m *Machine) sendAlerts() {
+func (m *Machine) sendAlerts(now time.Time) {
 	for _, id := range m.outage.panel {
 		peer := m.members[id]
 		if peer == nil || slices.Contains(m.heartbeatAddrs, peer.node.Peer) {
@@ -133,7 +133,7 @@
 			m.heartbeats[peer.node.Peer] = c
 		}
 		if !c.inFlight {
-			m.sendHeartbeat(peer.node.Peer, c, true)
+			m.sendHeartbeat(now, peer.node.Peer, c, true)
 		}
 	}
 }
@@ -154,8 +154,8 @@
 }
 
 // heartbeatRequest returns the heartbeat to send to an address.
-func (m *Machine) heartbeatRequest(addr string) *HeartbeatRequest {
-	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), StoreEra: m.storeCopy.Version().Era, StatesEra: true, PastKnown: m.storeCopy.Known(), Demand: m.localDemand, Crashes: m.localCrashes, TimeoutsSum: m.timeouts.sum, Pressing: m.localPressing}
+func (m *Machine) heartbeatRequest(now time.Time, addr string) *HeartbeatRequest {
+	r := &HeartbeatRequest{From: m.self, Interval: m.heartbeatInterval(), StoreRevision: m.storeCopy.Revision(), StoreEra: m.storeCopy.Version().Era, StatesEra: true, PastKnown: m.storeCopy.Known(), Demand: m.localDemand, Crashes: m.localCrashes(now), Blocked: m.blockList(now), TimeoutsSum: m.timeouts.sum, Pressing: m.localPressing}
 	if c := m.heartbeats[addr]; c != nil && c.answered && c.hubSum != m.timeouts.sum {
 		r.Timeouts = m.timeouts.list()
 	}
@@ -183,7 +183,9 @@
 			m.markChanged(peer)
 		}
 		peer.lastHeartbeat, peer.interval = now, interval
-		peer.crashes = ev.Request.Crashes
+		m.setPeerCrashes(now, peer, ev.Request.Crashes)
+		m.addBlocks(now, now, ev.Request.Blocked)
+		m.updateBlocks(now)
 		m.setPressing(&peer.pressing, ev.Request.Pressing)
 		m.mergeTimeouts(ev.Request.Timeouts)
 		m.peerDemands[peer.node.ID] = peerDemand{demand: ev.Request.Demand, receivedAt: now, ttl: shareTTL(interval)}
@@ -195,7 +197,7 @@
 // heartbeatReply returns the reply to a heartbeat, with the changes that its
 // sender lacks.
 func (m *Machine) heartbeatReply(now time.Time, r *HeartbeatRequest) *HeartbeatReply {
-	reply := &HeartbeatReply{From: m.self, FleetDemand: m.demandFor(now, r), Blocked: m.blockedFingerprints(), CopyAge: -1, RegainedAge: m.regainedAge(now), TimeoutsSum: m.timeouts.sum, Pressing: m.pressingFor(now, r.From.ID)}
+	reply := &HeartbeatReply{From: m.self, FleetDemand: m.demandFor(now, r), Blocked: m.blockList(now), CopyAge: -1, RegainedAge: m.regainedAge(now), TimeoutsSum: m.timeouts.sum, Pressing: m.pressingFor(now, r.From.ID)}
 	if r.TimeoutsSum != m.timeouts.sum {
 		reply.Timeouts = m.timeouts.list()
 	}
@@ -283,7 +285,8 @@
 		}
 	}
 	m.mergeTimeouts(reply.Timeouts)
-	hub.blocked, hub.reportedAt = reply.Blocked, now
+	hub.reportedAt = now
+	m.addBlocks(now, ev.Sent, reply.Blocked)
 	m.setPressing(&hub.toldPressing, reply.Pressing)
 	if !alert { // a VM that is no hub knows the demand of few VMs
 		demand.totals = reply.FleetDemand
--- a/core/mesh/machine.go
+++ b/core/mesh/machine.go
@@ -57,7 +57,6 @@
 	noPeerReadJitter = 400 * time.Millisecond
 
 	failuresBeforeUnreachable = 2 // consecutive failed reads after which a VM counts the store as unreachable: it reports StoreDenied and gives up the reader's role
-	crashesToBlock            = 3 // a request that crashed this many targets is blocked
 )
 
 // Settings are the inputs of a Machine that are known at its start.
@@ -72,11 +71,11 @@
 // member is what this VM knows of another VM.
 type member struct {
 	node          Node
-	lastSeen      time.Time     // last time at which it was known to be alive, from its messages or the report of a hub
-	lastHeartbeat time.Time     // time of the last heartbeat received from it
-	interval      time.Duration // announced heartbeat interval; zero when it sends none to this VM
-	listed        bool          // reported to other VMs, since it sends heartbeats to this one
-	crashes       []Crash
+	lastSeen      time.Time           // last time at which it was known to be alive, from its messages or the report of a hub
+	lastHeartbeat time.Time           // time of the last heartbeat received from it
+	interval      time.Duration       // announced heartbeat interval; zero when it sends none to this VM
+	listed        bool                // reported to other VMs, since it sends heartbeats to this one
+	crashes       []crashRecord       // in its last heartbeat to this VM
 	pressing      []callers.Pressing  // in its last heartbeat to this VM
 	toldPressing  []callers.Pressing  // in its last reply to this VM
 	failingAt     time.Time           // when this VM learned of node.StoreFailing
@@ -86,8 +85,7 @@
 	changeSeq     uint64              // Machine.changeSeq of its last change
 	reachableSeq  uint64              // the hub's change number up to which reachable is complete
 	reachable     map[fleet.VMID]bool // VMs that it reports as reachable, if it is a hub
-	blocked       []uint64
-	reportedAt    time.Time // when it reported blocked
+	reportedAt    time.Time           // when it last answered a heartbeat
 }
 
 // removal records a member that is no longer reported to other VMs.
@@ -127,7 +125,7 @@
 	storeCopy         mirror.Mirror
 	localDemand       []WorkspaceDemand
 	prevLocalDemand   []WorkspaceDemand // the report before localDemand
-	localCrashes      []Crash
+	crashes           crashCounts
 	localPressing     []callers.Pressing
 	peerDemands       map[fleet.VMID]peerDemand // of VMs that send heartbeats to this one
 	hubDemands        map[fleet.VMID]hubDemand  // as reported by hubs
@@ -157,7 +155,6 @@
 	wasBusy           bool          // result of isBusy in the last step
 	answeredInterval  time.Duration // announced in the last heartbeat that was answered
 	timeouts          routeTimeouts
-	blocked           map[uint64]bool // View.Blocked of the last view
 	viewDirty         bool
 	actions           []Action
 }
@@ -199,7 +196,8 @@
 	case ForwardFailed:
 		m.handleForwardFailed(now, ev)
 	case LocalDemand:
-		m.prevLocalDemand, m.localDemand, m.localCrashes = m.localDemand, ev.Demand, ev.Crashes
+		m.prevLocalDemand, m.localDemand = m.localDemand, ev.Demand
+		m.setCrashes(now, &m.crashes.local, ev.Crashes)
 		m.localPressing = mergePressing(ev.Pressing)
 		m.mergeTimeouts(ev.Timeouts)
 	case Stopping:
@@ -213,6 +211,7 @@
 	case Tick:
 	}
 	m.expire(now)
+	m.updateBlocks(now)
 	m.detectOutage(now)
 	m.announceStoreFailing(now)
 	m.chooseHubs(now)
--- a/core/mesh/members.go
+++ b/core/mesh/members.go
@@ -20,6 +20,7 @@
 		if silentFor <= m.memberTimeout(peer) && !peer.gone {
 			continue
 		}
+		m.keepCrashes(now, peer)
 		delete(m.members, id)
 		delete(m.heartbeats, peer.node.Peer)
 		switch {
@@ -68,6 +69,7 @@
 	case peer.node != n:
 		before := peer.node
 		if n.StartedUnixMs != peer.node.StartedUnixMs {
+			m.keepCrashes(now, peer)
 			*peer, before = member{}, Node{StoreDenied: n.StoreDenied}
 		}
 		peer.node = n
--- a/core/mesh/messages.go
+++ b/core/mesh/messages.go
@@ -52,12 +52,6 @@
 	RatePerSecond float64
 }
 
-// Crash counts the targets that requests with one fingerprint have crashed.
-type Crash struct {
-	Fingerprint uint64
-	Count       uint32
-}
-
 // HeartbeatRequest is a heartbeat. It reports the sender's state, and which changes
 // the sender already has.
 type HeartbeatRequest struct {
@@ -72,6 +66,7 @@
 	NodesEpoch    int64         // start of the hub's process that NodesSeq belongs to, in Unix milliseconds
 	Demand        []WorkspaceDemand
 	Crashes       []Crash
+	Blocked       []Block        // that the sender knows
 	TimeoutsSum   uint64         // checksum of the timeouts that the sender knows; zero for none
 	Timeouts      []RouteTimeout // all that the sender knows, if the receiver is known to know others
 	Pressing      []callers.Pressing
@@ -95,7 +90,7 @@
 	Removed     []fleet.VMID      // members that are no longer reachable
 	Hubs        []Node            // hubs to contact instead, when the replying VM is not a hub
 	FleetDemand []WorkspaceDemand // fleet's demand for the workspaces in the request's Demand
-	Blocked     []uint64          // fingerprints of requests that crash targets
+	Blocked     []Block           // requests that crash targets
 	TimeoutsSum uint64            // checksum of the timeouts that the hub knows
 	Timeouts    []RouteTimeout    // all that the hub knows, if the sender of the heartbeat knows others
 	Pressing    []callers.Pressing
--- a/core/mesh/view.go
+++ b/core/mesh/view.go
@@ -1,32 +1,6 @@
 package mesh
 
-import (
-	"slices"
-	"time"
-)
-
-// blockedFingerprints returns the fingerprints of requests that crashed at least
-// crashesToBlock targets, counted over this VM and those that send heartbeats to
-// it, in ascending order.
-func (m *Machine) blockedFingerprints() []uint64 {
-	crashCounts := make(map[uint64]uint32)
-	for _, c := range m.localCrashes {
-		crashCounts[c.Fingerprint] += c.Count
-	}
-	for _, peer := range m.members {
-		for _, c := range peer.crashes {
-			crashCounts[c.Fingerprint] += c.Count
-		}
-	}
-	var blocked []uint64
-	for fp, count := range crashCounts {
-		if count >= crashesToBlock {
-			blocked = append(blocked, fp)
-		}
-	}
-	slices.Sort(blocked)
-	return blocked
-}
+import "time"
 
 // buildView returns a new View for the other tasks. While this VM is partitioned,
 // its own demand is zero, and Sharers does not fall.
@@ -54,17 +28,8 @@
 	for _, h := range m.hubs {
 		v.Hubs = append(v.Hubs, h.ID)
 	}
-	for _, fp := range m.blockedFingerprints() {
-		v.Blocked[fp] = true
-	}
-	for _, hub := range m.members {
-		if now.Sub(hub.reportedAt) > m.hubTimeout() {
-			continue
-		}
-		for _, fp := range hub.blocked {
-			v.Blocked[fp] = true
-		}
+	for fingerprint := range m.crashes.blocks {
+		v.Blocked[fingerprint] = true
 	}
-	m.reportBlocks(v.Blocked)
 	return v
 }
--- a/core/serve/crash.go
+++ b/core/serve/crash.go
@@ -8,15 +8,9 @@
 	"github.com/anvilfork/anvilfork/core/mesh"
 )
 
-const (
-	// crashWindow is the longest time between the loss of a target's
-	// connections and a refused new connection for which the loss counts as a
-	// crash.
-	crashWindow      = time.Second
-	crashRetention   = time.Minute // a request content is admitted again when it has crashed no target for this long
-	maxTargetCrashes = 3           // crashes after which a request content is blocked
-	maxCrashEntries  = 256         // request contents that are remembered
-)
+// crashWindow is the longest time between the loss of a target's connections and a
+// refused new connection for which the loss counts as a crash.
+const crashWindow = time.Second
 
 // crashes counts the targets that each request content has crashed, by the
 // fingerprint of the content.
@@ -32,7 +26,7 @@
 func (c *crashes) add(now time.Time, fingerprint uint64) {
 	n := c.byFingerprint[fingerprint]
 	if n == nil {
-		if len(c.byFingerprint) >= maxCrashEntries {
+		if len(c.byFingerprint) >= mesh.MaxCrashContents {
 			c.dropOldest()
 		}
 		n = &crashCount{}
@@ -53,22 +47,22 @@
 	delete(c.byFingerprint, oldest)
 }
 
-// blocked reports whether this VM has seen the content crash maxTargetCrashes
+// blocked reports whether this VM has seen the content crash mesh.CrashesToBlock
 // targets.
 func (c *crashes) blocked(now time.Time, fingerprint uint64) bool {
 	n := c.byFingerprint[fingerprint]
-	return n != nil && n.count >= maxTargetCrashes && now.Sub(n.at) <= crashRetention
+	return n != nil && n.count >= mesh.CrashesToBlock && now.Sub(n.at) <= mesh.CrashRetention
 }
 
 // list returns the counts for the other VMs and removes those that are too old.
 func (c *crashes) list(now time.Time) []mesh.Crash {
 	var all []mesh.Crash
 	for fingerprint, n := range c.byFingerprint {
-		if now.Sub(n.at) > crashRetention {
+		if now.Sub(n.at) > mesh.CrashRetention {
 			delete(c.byFingerprint, fingerprint)
 			continue
 		}
-		all = append(all, mesh.Crash{Fingerprint: fingerprint, Count: n.count})
+		all = append(all, mesh.Crash{Fingerprint: fingerprint, Count: n.count, Age: now.Sub(n.at)})
 	}
 	slices.SortFunc(all, func(a, b mesh.Crash) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return all
--- a/core/serve/engine_test.go
+++ b/core/serve/engine_test.go
@@ -200,7 +200,7 @@
 		h.step(Submit{Request: &Request{ID: h.seq, Host: "h", Path: "/write/x", Key: testKey, Fingerprint: fingerprint}})
 		return h.answers[h.seq]
 	}
-	for range maxTargetCrashes {
+	for range mesh.CrashesToBlock {
 		submit()
 		a := h.takeAttempt("single")
 		h.fail(a, ConnLost)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -100,10 +100,11 @@
 			Msg("some VMs could not read the platform's store, but this one could; entries that are missing were removed")
 	case mesh.RequestBlocked:
 		t.log.Warn().Str("event", "request_blocked").Str("fingerprint", formatFingerprint(a.Fingerprint)).
-			Int("crashes", a.Crashes).Int("counters", a.Counters).Msg("requests with this fingerprint crash targets and are blocked")
+			Int("crashes", a.Crashes).Int("counters", a.Counters).Int64("age_ms", a.Age.Milliseconds()).
+			Msg("requests with this fingerprint crash targets and are blocked")
 	case mesh.RequestUnblocked:
-		t.log.Warn().Str("event", "request_unblocked").Str("fingerprint", formatFingerprint(a.Fingerprint)).
-			Int("crashes", a.Crashes).Msg("requests with this fingerprint are blocked no longer")
+		t.log.Info().Str("event", "request_unblocked").Str("fingerprint", formatFingerprint(a.Fingerprint)).
+			Msg("requests with this fingerprint have crashed no target for a minute and are blocked no longer")
 	case mesh.StoreRewound:
 		t.logRewind(a)
 	case mesh.EraIgnored:
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -111,6 +111,7 @@
 	default:
 		if fleet, ok := m.event.(serve.FleetChanged); ok {
 			t.metrics.RecordStore(storeMetrics(&fleet.View.Store))
+			t.metrics.RecordBlocked(len(fleet.View.Blocked))
 		}
 		t.releaseFinishedRelay(m.event)
 		t.step(m.event)
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,8 +93,9 @@
 		Era: encodeEra(r.StatesEra, r.StoreEra), PastKnown: encodeKnown(r.PastKnown),
 	}
 	for _, c := range r.Crashes {
-		m.Crashes = append(m.Crashes, &peer.MeshCrash{Fingerprint: c.Fingerprint, Count: c.Count})
+		m.Crashes = append(m.Crashes, &peer.MeshCrash{Fingerprint: c.Fingerprint, Count: c.Count, AgeMs: encodeMillis(c.Age)})
 	}
+	m.Blocked, m.BlockedAgeMs = encodeBlocks(r.Blocked)
 	return m
 }
 
@@ -102,13 +104,41 @@
 		From: decodeNode(m.GetFrom()), Interval: time.Duration(m.GetEveryMs()) * time.Millisecond, StoreRevision: m.GetAsOf(), NodesSeq: m.GetNodesSeq(), NodesEpoch: m.GetNodesOf(), Demand: decodeOffered(m.GetOffered()),
 		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()), Pressing: decodePressing(m.GetPressing()),
 		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastKnown: decodeKnown(m.GetPastKnown()),
+		Blocked: decodeBlocks(m.GetBlocked(), m.GetBlockedAgeMs()),
 	}
 	for _, c := range m.GetCrashes() {
-		r.Crashes = append(r.Crashes, mesh.Crash{Fingerprint: c.GetFingerprint(), Count: c.GetCount()})
+		r.Crashes = append(r.Crashes, mesh.Crash{Fingerprint: c.GetFingerprint(), Count: c.GetCount(), Age: decodeMillis(c.GetAgeMs())})
 	}
 	return r
 }
 
+// encodeBlocks returns the fingerprints and the ages of blocks.
+func encodeBlocks(all []mesh.Block) (fingerprints []uint64, ages []uint32) {
+	for _, b := range all {
+		fingerprints, ages = append(fingerprints, b.Fingerprint), append(ages, encodeMillis(b.Age))
+	}
+	return fingerprints, ages
+}
+
+// decodeBlocks returns blocks. VMs of earlier builds tell no ages.
+func decodeBlocks(fingerprints []uint64, ages []uint32) []mesh.Block {
+	var all []mesh.Block
+	for i, fingerprint := range fingerprints {
+		age := time.Duration(-1)
+		if i < len(ages) {
+			age = decodeMillis(ages[i])
+		}
+		all = append(all, mesh.Block{Fingerprint: fingerprint, Age: age})
+	}
+	return all
+}
+
+func encodeMillis(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
+
+func decodeMillis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
 // replyEncoder encodes replies to heartbeats. When a whole fleet starts, a hub answers
 // hundreds of VMs at once, each with all members and the same update, so it caches the
 // last encoded update and the encoded form of each member, and reuses its compressor.
@@ -136,10 +166,11 @@
 func (e *replyEncoder) encode(r *mesh.HeartbeatReply, readsPacked bool) (*peer.MeshReply, error) {
 	m := &peer.MeshReply{
 		From: encodeNode(r.From), AgeUs: r.CopyAge.Microseconds(), RegainedAgeUs: encodeAge(r.RegainedAge), NodesSeq: r.NodesSeq, NodesWhole: r.NodesFull, Fleet: uint32(r.FleetSize),
-		Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand), Blocked: r.Blocked,
+		Hubs: encodeNodes(r.Hubs), Totals: encodeOffered(r.FleetDemand),
 		TimeoutsSum: r.TimeoutsSum, Timeouts: encodeTimeouts(r.Timeouts), Pressing: encodePressing(r.Pressing),
 		Era: encodeEra(r.StatesEra, r.StoreEra), PastKnown: encodeKnown(r.PastKnown),
 	}
+	m.Blocked, m.BlockedAgeMs = encodeBlocks(r.Blocked)
 	if r.CopyAge < 0 {
 		m.AgeUs = -1
 	}
@@ -252,7 +283,7 @@
 	r := &mesh.HeartbeatReply{
 		From: decodeNode(m.GetFrom()), CopyAge: time.Duration(m.GetAgeUs()) * time.Microsecond,
 		RegainedAge: decodeAge(m.GetRegainedAgeUs()), NodesSeq: m.GetNodesSeq(),
-		NodesFull: m.GetNodesWhole(), FleetSize: int(m.GetFleet()), FleetDemand: decodeOffered(m.GetTotals()), Blocked: m.GetBlocked(),
+		NodesFull: m.GetNodesWhole(), FleetSize: int(m.GetFleet()), FleetDemand: decodeOffered(m.GetTotals()), Blocked: decodeBlocks(m.GetBlocked(), m.GetBlockedAgeMs()),
 		TimeoutsSum: m.GetTimeoutsSum(), Timeouts: decodeTimeouts(m.GetTimeouts()), Pressing: decodePressing(m.GetPressing()),
 		StatesEra: m.Era != nil, StoreEra: m.GetEra(), PastKnown: decodeKnown(m.GetPastKnown()),
 	}
--- a/metrics/expose.go
+++ b/metrics/expose.go
@@ -41,6 +41,7 @@
 	"workspace_answered_ratio":       "Queries answered in the last minute, of those not refused for a reason on the caller's side.",
 	"workspace_offered_per_second":   "Queries that a workspace sent to this VM in the last minute, refused ones included.",
 	"worst_workspace_answered_ratio": "Smallest workspace_answered_ratio; 1 without queries.",
+	"blocked_entries":                "Request contents that crash targets and are blocked.",
 	"store_era":                      "Era of the store that this VM has a copy of; zero if the store states none.",
 	"store_outages_total":            "Outages of the store that this VM was the first to find ended.",
 	"store_out_of_reach_total":       "Times that this VM read the store while the reads of some other VMs failed.",
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -104,6 +104,7 @@
 	r.RecordConnection("spare")
 	r.RecordFailedAttempt("a", "unreadable")
 	r.Refresh(epoch)
+	r.RecordBlocked(1)
 	r.RecordStore(Store{Era: 2, Rewinds: 1, Kept: map[string]int{"zone_out": 3}})
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(strings.NewReader(exposition(t, r)))
--- a/metrics/store.go
+++ b/metrics/store.go
@@ -10,6 +10,11 @@
 	Kept    map[string]int // entries that are kept past a rewind, by reason
 }
 
+// RecordBlocked sets the number of request contents that are blocked.
+func (r *Registry) RecordBlocked(contents int) {
+	r.gauge("blocked_entries", Labels{}).Update(float64(contents))
+}
+
 // RecordStore replaces the series that describe the copy of the store.
 func (r *Registry) RecordStore(s Store) {
 	r.gauge("store_era", Labels{}).Update(float64(s.Era))
