soak: VMs cut off the store, and a request that crashes targets

Each VM has a proxy of its own to the store. store-cut removes a target's entry right after a read of the store and cuts one or two of four VMs off. poisoned starts a request that crashes the targets that run it, which comes to the VMs in turn, and kills one VM after the other from 5.5 s on. The checker counts retries that reach targets from VMs in touch later than 4 s after the third crash. Drawn last, so that the other steps of a seed stay.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/anvilfork/anvilfork/platform/platformtest"
@@ -14,6 +15,7 @@
 const (
 	maxRevocationDelay = 5 * time.Second
 	maxDrainDelay      = 3 * time.Second
+	maxPoisonRetries   = 3               // of the request that crashes targets, sent by VMs in touch later than reconnectTime after its third crash
 	reconnectTime      = 4 * time.Second // undisturbed time after which VMs count as reachable, as maxDrainDelay requires
 	quotaWindow        = 5 * time.Second
 	quotaTolerance     = 1.25 // factor on the requests that rate and burst allow
@@ -34,6 +36,10 @@
 	refused         map[string]bool                   // requests whose refusal says that they did not run
 	withdrawnAt     map[string]time.Time              // by key
 	drainingSince   map[string]time.Time              // by target ID
+	disturbedUntil  map[string]time.Time              // by VM name
+	crashes         int                               // of targets, by the poison request
+	thirdCrash      time.Time                         // time of the third one
+	poisonRetries   int                               // that count against maxPoisonRetries
 	lastDisturbance time.Time                         // in the future while the disturbance lasts
 	limitedRuns     []time.Time                       // first executions of the limited workspace's requests within quotaWindow
 	counted         map[string]bool                   // requests already added to limitedRuns
@@ -44,7 +50,7 @@
 func newChecker(shards []string, singleService string, workspaceByKey map[string]string) *checker {
 	return &checker{
 		shards: shards, singleService: singleService, workspaceByKey: workspaceByKey, requests: make(map[string]*platformtest.Exchange), runCounts: make(map[string]int),
-		refused: make(map[string]bool), withdrawnAt: make(map[string]time.Time), drainingSince: make(map[string]time.Time), counted: make(map[string]bool),
+		refused: make(map[string]bool), withdrawnAt: make(map[string]time.Time), drainingSince: make(map[string]time.Time), counted: make(map[string]bool), disturbedUntil: make(map[string]time.Time),
 	}
 }
 
@@ -52,6 +58,32 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
+// disturb records that a VM is disturbed until a time.
+func (c *checker) disturb(vm string, until time.Time) {
+	if until.After(c.disturbedUntil[vm]) {
+		c.disturbedUntil[vm] = until
+	}
+}
+
+// inTouch reports whether the VM that a request was sent to was undisturbed for
+// reconnectTime at a time.
+func (c *checker) inTouch(request string, at time.Time) bool {
+	vm, _, _ := strings.Cut(request, "-")
+	return at.Sub(c.disturbedUntil[vm]) > reconnectTime
+}
+
+// checkCrash checks an execution that crashed its target.
+func (c *checker) checkCrash(r platformtest.Run, sent time.Time) {
+	if c.crashes++; c.crashes == 3 {
+		c.thirdCrash = r.At
+	}
+	if c.crashes > 3 && sent.Sub(c.thirdCrash) > reconnectTime && c.inTouch(r.Request, sent) {
+		if c.poisonRetries++; c.poisonRetries > maxPoisonRetries {
+			c.addViolation("retry %d of the request that crashes targets reached target %s %v after the third crash", c.poisonRetries, r.Target, r.At.Sub(c.thirdCrash))
+		}
+	}
+}
+
 // recordRequest registers a request. It must be called before the request is sent.
 func (c *checker) recordRequest(a *platformtest.Exchange) { c.requests[a.RequestID] = a }
 
@@ -77,7 +109,10 @@
 	if at, ok := c.withdrawnAt[a.Key]; ok && a.Sent.Sub(at) > maxRevocationDelay {
 		c.addViolation("request %s ran, sent %v after its key was withdrawn", r.Request, a.Sent.Sub(at))
 	}
-	if at, ok := c.drainingSince[r.Target]; ok && r.At.Sub(at) > maxDrainDelay && at.Sub(c.lastDisturbance) > reconnectTime {
+	if r.Crashed {
+		c.checkCrash(r, a.Sent)
+	}
+	if at, ok := c.drainingSince[r.Target]; ok && r.At.Sub(at) > maxDrainDelay && at.Sub(c.lastDisturbance) > reconnectTime && c.inTouch(r.Request, r.At) {
 		c.addViolation("request %s reached target %s %v after it began to drain", r.Request, r.Target, r.At.Sub(at))
 	}
 	c.checkQuota(a, r.At)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -36,6 +36,7 @@
 type vm struct {
 	name, ip, dir string
 	zone          string
+	storeProxy    *proxy // between this VM and the store
 	cmd           *exec.Cmd
 	expectedExit  bool // the soak has signaled the process to exit
 	exited        chan struct{}
@@ -46,7 +47,6 @@
 type fleet struct {
 	daemonPath, dir string
 	store           *platformtest.Store
-	storeProxy      *proxy // between the VMs and the store
 	vms             []*vm
 	targets         []*proxiedTarget
 	runs            chan platformtest.Run
@@ -67,11 +67,6 @@
 // exercise relaying.
 func newFleet(daemonPath, dir string, seed int64) (*fleet, error) {
 	f := &fleet{daemonPath: daemonPath, dir: dir, store: platformtest.NewStore(), runs: make(chan platformtest.Run, 4096), exits: make(chan string, 64), written: make(map[string]string), remoteTargets: seed%2 == 1}
-	storeProxy, err := newProxy(f.store.Address())
-	if err != nil {
-		return nil, err
-	}
-	f.storeProxy = storeProxy
 	for _, service := range append([]string{singleService}, shardNames...) {
 		for range targetsPerService {
 			if err := f.addTarget(service); err != nil {
@@ -85,6 +80,11 @@
 	for i := range vmCount {
 		v := &vm{name: fmt.Sprintf("vm%d", i), ip: loopbackIP(seed, i), zone: zones[i%len(zones)]}
 		v.dir = filepath.Join(dir, v.name)
+		storeProxy, err := newProxy(f.store.Address())
+		if err != nil {
+			return nil, err
+		}
+		v.storeProxy = storeProxy
 		f.vms = append(f.vms, v)
 	}
 	for _, v := range f.vms {
@@ -164,7 +164,7 @@
 	}
 	seeds := []string{f.vms[0].ip + ":" + platformtest.PeerPort, f.vms[1].ip + ":" + platformtest.PeerPort}
 	path := filepath.Join(v.dir, "settings.yaml")
-	settings := platformtest.Settings(v.name, v.ip, v.zone, f.storeProxy.address(), seeds)
+	settings := platformtest.Settings(v.name, v.ip, v.zone, v.storeProxy.address(), seeds)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -13,6 +13,7 @@
 	noFault      fault = iota
 	delayChunks        // each chunk is delayed by proxyDelay
 	dropToServer       // nothing reaches the server
+	resetConns         // connections are reset, new ones as soon as they are accepted
 )
 
 const (
@@ -79,7 +80,17 @@
 	}
 }
 
+// close refuses new connections and resets those that are open.
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.resetAll()
+}
+
 func (p *proxy) forward(c net.Conn, id int64, resetSignal <-chan struct{}) {
+	if fault(p.fault.Load()) == resetConns {
+		resetConn(c)
+		return
+	}
 	s, err := net.Dial("tcp4", p.serverAddress)
 	if err != nil {
 		resetConn(c)
--- a/soak/run.go
+++ b/soak/run.go
@@ -15,8 +15,10 @@
 	callersPerVM        = 2
 	callInterval        = 40 * time.Millisecond
 	limitedCallInterval = 10 * time.Millisecond // of the workspace that sends more than its rate
-	rewriteDelay        = time.Second           // from the return of the store to the writes that it lost; targets write every 1.2 s
-	recoveryTime        = 7 * time.Second       // after the fault injection; the fleet must serve normally at its end
+	poisonInterval      = 150 * time.Millisecond
+	minRereadDelay      = 300 * time.Millisecond // shorter than the time between two reads of the store in quick succession
+	rewriteDelay        = time.Second            // from the return of the store to the writes that it lost; targets write every 1.2 s
+	recoveryTime        = 7 * time.Second        // after the fault injection; the fleet must serve normally at its end
 	finalCalls          = 40
 	stopTimeout         = 4 * time.Second // the stop grace period of the settings plus 1 s
 )
@@ -56,7 +58,7 @@
 	p := &player{fleet: f, checker: c, result: r, startedAt: time.Now(), traffic: make(chan trafficEvent, 4096), deferred: make(chan func(), 256)}
 	trafficCtx, stop := context.WithCancel(ctx)
 	p.startTraffic(trafficCtx)
-	p.play(ctx, schedule(seed, duration), duration)
+	p.play(trafficCtx, schedule(seed, duration), duration)
 	stop()
 	p.checkRecovery(ctx)
 	r.violations = append(r.violations, c.violations...)
@@ -78,15 +80,39 @@
 // startTraffic starts the callers of all VMs, including one of the limited workspace
 // for each VM.
 func (p *player) startTraffic(ctx context.Context) {
-	for n, v := range p.fleet.vms {
+	for _, v := range p.fleet.vms {
 		for c := range callersPerVM {
 			key := "key-a1"
 			if c == 1 {
 				key = "key-a2"
 			}
-			go p.sendRequests(ctx, v.frontAddress(), fmt.Sprintf("r%d-%d", n, c), key, callInterval)
+			go p.sendRequests(ctx, v.frontAddress(), requestPrefix(v)+fmt.Sprint(c), key, callInterval)
+		}
+		go p.sendRequests(ctx, v.frontAddress(), requestPrefix(v)+"l", "key-l", limitedCallInterval*vmCount)
+	}
+}
+
+// requestPrefix begins the ids of the requests that are sent to a VM.
+func requestPrefix(v *vm) string { return v.name + "-" }
+
+// sendPoison sends the request that crashes targets to the VMs in turn until ctx ends.
+func (p *player) sendPoison(ctx context.Context) {
+	client := &http.Client{Timeout: 3 * time.Second}
+	for i := 0; ctx.Err() == nil; i++ {
+		v := p.fleet.vms[i%len(p.fleet.vms)]
+		request := fmt.Sprintf("%spoison-%d", requestPrefix(v), i)
+		recorded := make(chan struct{})
+		p.traffic <- trafficEvent{answer: &platformtest.Exchange{Sent: time.Now(), RequestID: request, NonIdempotent: true, Key: "key-a1"}, recorded: recorded}
+		select {
+		case <-recorded:
+		case <-ctx.Done():
+			return
+		}
+		platformtest.CallPoison(ctx, client, v.frontAddress(), request, "key-a1") // a refusal or a lost answer, which both are right
+		select {
+		case <-ctx.Done():
+		case <-time.After(poisonInterval):
 		}
-		go p.sendRequests(ctx, v.frontAddress(), fmt.Sprintf("l%d", n), "key-l", limitedCallInterval*vmCount)
 	}
 }
 
@@ -128,14 +154,14 @@
 			return
 		case <-next:
 			p.result.timeline = append(p.result.timeline, steps[0].String())
-			p.apply(steps[0])
+			p.apply(ctx, steps[0])
 			steps = steps[1:]
 		case fn := <-p.deferred:
 			fn()
 		case ev := <-p.traffic:
 			p.handleTraffic(ev)
 		case run := <-p.fleet.runs:
-			p.checker.checkRun(run)
+			p.handleRun(run)
 		case exit := <-p.fleet.exits:
 			p.handleExit(exit)
 		}
@@ -158,13 +184,32 @@
 	for {
 		select {
 		case run := <-p.fleet.runs:
-			p.checker.checkRun(run)
+			p.handleRun(run)
 		default:
 			return
 		}
 	}
 }
 
+// handleRun checks an execution. A target that has crashed refuses connections, and
+// another one replaces it.
+func (p *player) handleRun(run platformtest.Run) {
+	p.checker.checkRun(run)
+	if !run.Crashed {
+		return
+	}
+	for _, t := range p.fleet.targets {
+		if t.ID == run.Target {
+			t.proxy.close()
+			p.runAfter(restartDelay, func() {
+				p.fleet.remove(platformtest.TargetKey(t.ID))
+				p.replaceTarget(t)
+			})
+			return
+		}
+	}
+}
+
 // handleExit records a violation if a process exited without being signaled.
 func (p *player) handleExit(exit string) {
 	for _, v := range p.fleet.vms {
@@ -180,7 +225,7 @@
 }
 
 // apply starts a fault and schedules its end.
-func (p *player) apply(s step) {
+func (p *player) apply(ctx context.Context, s step) {
 	f := p.fleet
 	v, t := f.vms[s.Index%len(f.vms)], f.targets[s.Index%len(f.targets)]
 	switch s.Kind {
@@ -192,10 +237,14 @@
 		p.runAfter(s.Duration, func() { f.store.SetStatus(0) })
 	case storeResets:
 		p.checker.lastDisturbance = time.Now()
-		f.storeProxy.resetAll()
+		for _, v := range f.vms {
+			v.storeProxy.resetAll()
+		}
 	case storeSilent:
 		p.checker.lastDisturbance = time.Now()
-		f.storeProxy.silenceOpen()
+		for _, v := range f.vms {
+			v.storeProxy.silenceOpen()
+		}
 	case storeRewound:
 		away := s.Duration / 4
 		p.checker.lastDisturbance = time.Now().Add(away + rewriteDelay)
@@ -203,6 +252,10 @@
 		p.runAfter(away+rewriteDelay, f.writeAgain)
 	case storeForgets:
 		f.store.DropHistory()
+	case storeCut:
+		p.cutOffStore(s, t)
+	case poisoned:
+		go p.sendPoison(ctx)
 	case targetKilled:
 		t.Kill()
 		f.remove(platformtest.TargetKey(t.ID))
@@ -238,6 +291,26 @@
 	}
 }
 
+// cutOffStore removes the entry of a target, which goes on serving, when the store has
+// just been read, and cuts one or two VMs off from the store before they read again.
+func (p *player) cutOffStore(s step, leaving *proxiedTarget) {
+	p.replaceTarget(leaving)
+	p.runAfter(10*time.Millisecond, func() {
+		p.fleet.remove(platformtest.TargetKey(leaving.ID))
+		p.checker.drainingSince[leaving.ID] = time.Now()
+	})
+	vms := p.fleet.vms
+	for i := range 1 + s.Index/len(vms)%2 {
+		v := vms[(s.Index+i)%len(vms)]
+		p.runAfter(minRereadDelay, func() {
+			p.checker.disturb(v.name, time.Now().Add(s.Duration))
+			v.storeProxy.setFault(resetConns)
+			v.storeProxy.resetAll()
+		})
+		p.runAfter(minRereadDelay+s.Duration, func() { v.storeProxy.setFault(noFault) })
+	}
+}
+
 // replaceTarget starts a new target of the same service and removes the old one
 // from the list of targets.
 func (p *player) replaceTarget(t *proxiedTarget) {
@@ -258,6 +331,7 @@
 		return // the process is already stopped
 	}
 	p.checker.lastDisturbance = time.Now().Add(s.Duration)
+	p.checker.disturb(v.name, time.Now().Add(s.Duration))
 	switch s.Kind {
 	case pauseVM:
 		p.signal(v, syscall.SIGSTOP)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -11,7 +11,7 @@
 // kind is the kind of a fault or of a planned operation.
 type kind string
 
-// The kinds of steps. All but storeRewound are in kinds.
+// The kinds of steps. All but storeRewound, storeCut and poisoned are in kinds.
 const (
 	killVM        kind = "kill-vm"
 	stopVM        kind = "stop-vm" // planned restart: SIGTERM, then a new process
@@ -22,6 +22,8 @@
 	storeSilent   kind = "store-silent"
 	storeForgets  kind = "store-forgets"
 	storeRewound  kind = "store-rewound" // returns from a copy that is as old as the step lasts
+	storeCut      kind = "store-cut"     // one or two VMs are cut off from it, and a target leaves
+	poisoned      kind = "poisoned"      // a request that crashes targets comes again and again from then on
 	targetKilled  kind = "target-killed" // a new target replaces it
 	targetDrains  kind = "target-drains"
 	targetDelayed kind = "target-delayed"
@@ -57,8 +59,33 @@
 	faultsPerSecond  = 1.0             // most faults last longer than a second, so they overlap
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 3 * time.Second
+	// poisonBlockTime is the time from the first request that crashes targets after which
+	// none may reach targets.
+	poisonBlockTime    = 5500 * time.Millisecond
+	poisonKillInterval = 3 * time.Second
 )
 
+// poisonSteps returns the start of a request that crashes targets, and kills of one VM
+// after the other from when it has to be blocked.
+func poisonSteps(random *rand.Rand, duration time.Duration) []step {
+	at := warmUpTime + time.Duration(random.Int63n(int64(time.Second)))
+	steps := []step{{At: at, Kind: poisoned}}
+	first := random.Intn(1 << 16)
+	for at += poisonBlockTime; at < duration; at += poisonKillInterval {
+		steps = append(steps, step{At: at, Kind: killVM, Index: first + len(steps)})
+	}
+	return steps
+}
+
+// lateIndex draws the index of a step. That of storeRewound, which affects no single VM,
+// is zero.
+func lateIndex(random *rand.Rand, k kind) int {
+	if k == storeRewound {
+		return 0
+	}
+	return random.Intn(1 << 16)
+}
+
 // schedule returns the faults of a seed in the order of their times. It is
 // deterministic.
 func schedule(seed int64, duration time.Duration) []step {
@@ -73,11 +100,16 @@
 		})
 	}
 	// Drawn last, so that the other steps of a seed stay as they were.
+	for _, k := range []kind{storeRewound, storeCut, storeCut} {
+		if duration > warmUpTime && random.Intn(2) == 0 {
+			steps = append(steps, step{
+				At: warmUpTime + time.Duration(random.Int63n(int64(duration-warmUpTime))), Kind: k, Index: lateIndex(random, k),
+				Duration: minFaultDuration + time.Duration(random.Int63n(int64(maxFaultDuration-minFaultDuration))),
+			})
+		}
+	}
 	if duration > warmUpTime && random.Intn(2) == 0 {
-		steps = append(steps, step{
-			At: warmUpTime + time.Duration(random.Int63n(int64(duration-warmUpTime))), Kind: storeRewound,
-			Duration: minFaultDuration + time.Duration(random.Int63n(int64(maxFaultDuration-minFaultDuration))),
-		})
+		steps = append(steps, poisonSteps(random, duration)...)
 	}
 	slices.SortFunc(steps, func(a, b step) int { return cmp.Compare(a.At, b.At) })
 	return steps
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -74,6 +74,16 @@
 			sent(c, false)
 			run(c)
 		},
+		"poison request": func(c *checker) {
+			for i := range 3 + maxPoisonRetries + 1 {
+				request, at := fmt.Sprintf("vm0-poison-%d", i), now.Add(time.Duration(i)*time.Second)
+				if i >= 3 {
+					at = at.Add(reconnectTime)
+				}
+				c.recordRequest(&platformtest.Exchange{RequestID: request, Key: "k", NonIdempotent: true, Sent: at})
+				c.checkRun(platformtest.Run{At: at, Target: "i", Request: request, Workspace: "a", Crashed: true})
+			}
+		},
 		"drained": func(c *checker) { c.drainingSince["i"] = now.Add(-maxDrainDelay - time.Second); sent(c, false); run(c) },
 		"foreign answer": func(c *checker) {
 			c.checkAnswer(&platformtest.Exchange{RequestID: "r", NonIdempotent: true, Status: 200, Signature: "one.other", Body: platformtest.Records("one", "r")})
