core/mesh: look for failing reads of other VMs only while there are some

Each step of a VM of the panel went over all members twice, to find when it has to read because the reads of another VM fail: 295 members and some 140 heartbeats a second at a hub of the largest deployment. Whether any such report is newer than the copy is kept now, and computed when the copy is confirmed. No change of behaviour; core/mesh tests pass.

--- a/core/mesh/outage.go
+++ b/core/mesh/outage.go
@@ -50,6 +50,7 @@
 	readWait     time.Duration // timeout of the read in flight
 	listing      bool          // the read in flight is a listing, which may take long
 	failingSince time.Time     // start of the first read that failed since the copy was last confirmed; zero for none
+	othersFail   bool          // the reads of another VM may have failed since then
 	awayAt       time.Time     // when the store was found to be away, if it has answered nobody since; else zero
 	regainedAt   time.Time     // when the store was read again after its last outage, or first in its present era
 	outages      int           // outages that this VM was the first to find ended
@@ -100,7 +101,7 @@
 // that it is known soon whether the store is away or only out of that VM's reach. Zero
 // means never.
 func (m *Machine) probeDue() time.Time {
-	if !m.outage.failingSince.IsZero() || !m.isPanelMember() {
+	if !m.outage.othersFail || !m.outage.failingSince.IsZero() || !m.isPanelMember() {
 		return time.Time{}
 	}
 	var first time.Time
@@ -200,6 +201,10 @@
 		o.awayAt = time.Time{}
 	}
 	o.fleetSize = len(m.members) + 1
+	o.othersFail = false
+	for _, peer := range m.members {
+		o.othersFail = o.othersFail || m.failsToRead(peer)
+	}
 }
 
 // detectOutage finds the store away if enough VMs of the panel know of no answer since
@@ -266,6 +271,7 @@
 		peer.failingAt = time.Time{}
 	case after.StoreFailing && !before.StoreFailing, after.StoreDenied && !before.StoreDenied && !after.StoreFailing:
 		peer.failingAt, peer.lastSeen = now, now
+		m.outage.othersFail = true
 	}
 }
 
