core/mesh: the panel in a file of its own

outage.go held the choice of the panel, its probes and the evidence. The panel's choice, its reads and the heartbeats to it are in panel.go; the share of it that must have failed is a function instead of an inverse.

--- a/core/mesh/cutoff_test.go
+++ b/core/mesh/cutoff_test.go
@@ -188,8 +188,8 @@
 			refuted += s.vms[id].machine.outage.refuted
 		}
 		assert.Equal(t, before, 0)
-		assert.Assert(t, refuted >= min(vms, outagePanelSize)-1, "%d VMs of the panel have read the store", refuted)
-		assert.Assert(t, s.storeCalls-calls <= outagePanelSize+1, "%d calls", s.storeCalls-calls)
+		assert.Assert(t, refuted >= min(vms, panelSize)-1, "%d VMs of the panel have read the store", refuted)
+		assert.Assert(t, s.storeCalls-calls <= panelSize+1, "%d calls", s.storeCalls-calls)
 	}
 }
 
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -120,24 +120,6 @@
 	m.emit(SendHeartbeat{Peer: addr, Request: m.heartbeatRequest(now, addr)})
 }
 
-// sendAlerts sends a heartbeat to each VM of the panel that gets none otherwise.
-func (m *Machine) sendAlerts(now time.Time) {
-	for _, id := range m.outage.panel {
-		peer := m.members[id]
-		if peer == nil || slices.Contains(m.heartbeatAddrs, peer.node.Peer) {
-			continue
-		}
-		c := m.heartbeats[peer.node.Peer]
-		if c == nil {
-			c = &heartbeatState{}
-			m.heartbeats[peer.node.Peer] = c
-		}
-		if !c.inFlight {
-			m.sendHeartbeat(now, peer.node.Peer, c, true)
-		}
-	}
-}
-
 // markSelfChanged makes a change of this VM's record known to the hubs without
 // delay.
 func (m *Machine) markSelfChanged(now time.Time) {
--- a/core/mesh/outage.go
+++ b/core/mesh/outage.go
@@ -1,8 +1,6 @@
 package mesh
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -16,20 +14,11 @@
 // outage: the reader may have been frozen or cut off, while the targets reached the
 // store all the time. A few VMs whose reads fail show none either: they may have lost
 // their own ways to the store. So the first failed read makes a panel of VMs read at
-// once, and the store was away if three quarters of them fail since the copy was last confirmed.
-// The VM that reads the store, or its new era, first decides, and tells the others
-// together with the entries.
+// once, and the store was away if three quarters of them fail since the copy was last
+// confirmed. The VM that reads the store, or its new era, first decides, and tells the
+// others together with the entries.
 
 const (
-	// outagePanelSize is the number of VMs whose reads decide whether the store is
-	// away. A smaller fleet asks all its VMs.
-	outagePanelSize = 9
-	// maxOutageDissent is the inverse of the share of the panel whose reads need not have
-	// failed in an outage: these VMs may be frozen, or about to be found gone.
-	maxOutageDissent = 4
-	// probeWait is the timeout of a read that a VM of the panel makes because the reads
-	// of another one fail. It only has to be answered.
-	probeWait = 20 * time.Millisecond
 	// overdueAfter is the time beyond a watch's timeout after which the store does
 	// not answer it.
 	overdueAfter = 500 * time.Millisecond
@@ -57,62 +46,6 @@
 	refuted      int           // times that it read the store while the reads of some others failed
 }
 
-// choosePanel returns the VMs whose reads decide whether the store is away. They are a
-// sample of the fleet, since VMs that started together, are of one availability zone or
-// read the store in turn may lose it together: one of each zone in turn, in the order of
-// a hash of their ids.
-func choosePanel(nodes []Node) []fleet.VMID {
-	if len(nodes) <= outagePanelSize {
-		panel := make([]fleet.VMID, 0, len(nodes))
-		for _, n := range nodes {
-			panel = append(panel, n.ID)
-		}
-		return panel
-	}
-	type sampled struct {
-		id   fleet.VMID
-		hash uint32
-	}
-	byZone := make(map[string][]sampled)
-	for _, n := range nodes {
-		byZone[n.Zone] = append(byZone[n.Zone], sampled{n.ID, hashID(n.ID)})
-	}
-	zones := slices.Sorted(maps.Keys(byZone))
-	for _, zone := range zones {
-		slices.SortFunc(byZone[zone], func(a, b sampled) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id)) })
-	}
-	panel := make([]fleet.VMID, 0, outagePanelSize)
-	for round := 0; ; round++ {
-		for _, zone := range zones {
-			if len(panel) == outagePanelSize {
-				return panel
-			}
-			if round < len(byZone[zone]) {
-				panel = append(panel, byZone[zone][round].id)
-			}
-		}
-	}
-}
-
-// isPanelMember reports whether this VM belongs to the panel.
-func (m *Machine) isPanelMember() bool { return slices.Contains(m.outage.panel, m.self.ID) }
-
-// probeDue returns when this VM reads the store because the reads of another VM fail, so
-// that it is known soon whether the store is away or only out of that VM's reach. Zero
-// means never.
-func (m *Machine) probeDue() time.Time {
-	if !m.outage.othersFail || !m.outage.failingSince.IsZero() || !m.isPanelMember() {
-		return time.Time{}
-	}
-	var first time.Time
-	for _, peer := range m.members {
-		if m.failsToRead(peer) && (first.IsZero() || peer.failingAt.Before(first)) {
-			first = peer.failingAt
-		}
-	}
-	return first
-}
-
 // readStarted records the start of a read of the store.
 func (o *outageEvidence) readStarted(now time.Time, wait time.Duration, listing bool) {
 	o.judgedFrom, o.readWait, o.listing = now, wait, listing
@@ -242,7 +175,7 @@
 			asked++
 		}
 	}
-	return witnesses, max(asked-asked/maxOutageDissent, 1)
+	return witnesses, neededWitnesses(asked)
 }
 
 // announceStoreFailing tells the others whether this VM's reads of the store fail. A
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -32,12 +32,6 @@
 	m.emit(ReadStore{After: after, Wait: wait})
 }
 
-// isProbe reports whether a read that starts at now only has to show whether the store
-// answers this VM.
-func (m *Machine) isProbe(now time.Time) bool {
-	return m.hasCopy() && !m.isReader() && now.Before(m.fallbackReadDue())
-}
-
 // readDue returns when this VM reads the store next; zero means never. The reader
 // reads continuously. Another VM reads when its copy has not been confirmed for so
 // long that either the reader can't reach the store or this VM can't reach the
