--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,10 +14,14 @@
 
 // seeds are run by TestSoakSeeds. A seed that once failed stays here as a
 // regression test, with its cause.
-var seeds = map[int64]string{
-	1:   "basic mix of faults; it failed in an early version of the soak",
-	172: "reload, paused VM, silent connections to a target and to the store, zone out",
-	11:  "store that returns from a copy 2 s old",
+var seeds = map[int64]struct {
+	cause    string
+	duration time.Duration
+}{
+	1:    {"basic mix of faults; it failed in an early version of the soak", 8 * time.Second},
+	172:  {"reload, paused VM, silent connections to a target and to the store, zone out", 8 * time.Second},
+	11:   {"store that returns from a copy 2 s old", 8 * time.Second},
+	9310: {"request that crashes targets, VMs killed one after the other: its block ended with them", 30 * time.Second},
 }
 
 // Guards against violated guarantees while processes, connections, targets and the
@@ -26,12 +30,12 @@
 	bin := filepath.Join(t.TempDir(), "anvilforkd")
 	out, err := exec.Command("go", "build", "-o", bin, "../cmd/anvilforkd").CombinedOutput()
 	assert.NilError(t, err, string(out))
-	for seed, cause := range seeds {
+	for seed, run := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			r, err := runSeed(t.Context(), bin, t.TempDir(), seed, 8*time.Second)
+			r, err := runSeed(t.Context(), bin, t.TempDir(), seed, run.duration)
 			assert.NilError(t, err)
-			assert.Equal(t, len(r.violations), 0, "seed %d, %s: %v\n%v", seed, cause, r.violations, r.timeline)
+			assert.Equal(t, len(r.violations), 0, "seed %d, %s: %v\n%v", seed, run.cause, r.violations, r.timeline)
 			assert.Assert(t, r.answered > 100, "%d calls answered", r.answered)
 		})
 	}
