core/mesh: send a first listing to the VM's own branch only

Cause: since every VM that has read the store sends what it read to the roots of all zones, a first listing too. The reader, which is no seed, so got its first copy as a delta. A delta does not confirm a copy, and with a copy the reader starts a watch of 1.2 s instead of its own listing, so that nobody's copy was confirmed before that ended.

Ruled out: the start itself (configurations were in force earlier than before, half of them after 1.22 s and 1.84 s), failing reads (none after the kill).

Change: only the reader, and a VM whose copy was confirmed before it read, send to all zones.

--- a/core/mesh/cutoff_test.go
+++ b/core/mesh/cutoff_test.go
@@ -216,3 +216,31 @@
 	m.updateMember(s.now, known)
 	assert.Assert(t, !m.failsToRead(m.members["vm001"]), "denied before it became a member")
 }
+
+// Guards against VMs that refuse requests with keys after a restart of the fleet, because
+// the reader got its first copy from another VM's listing and confirmed it only with a
+// watch, 1.2 s later.
+func TestFaultCopiesAreConfirmedAfterARestart(t *testing.T) {
+	for _, listing := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond} {
+		s := newSimulation(t, 98)
+		s.listingDuration = listing
+		s.powers = map[fleet.VMID]float64{"vm050": 2, "vm051": 2} // the hubs are no seeds
+		s.run(2 * time.Second)
+		for _, id := range s.order {
+			s.start(id)
+		}
+		begin := s.now
+		confirmed := func() bool {
+			for _, v := range s.vms {
+				if v.view == nil || v.view.Confirmed.IsZero() {
+					return false
+				}
+			}
+			return true
+		}
+		for !confirmed() && s.now.Sub(begin) < 5*time.Second {
+			s.run(20 * time.Millisecond)
+		}
+		assert.Assert(t, s.now.Sub(begin) <= listing+watchTimeout, "listing of %v: confirmed after %v", listing, s.now.Sub(begin))
+	}
+}
--- a/core/mesh/delta.go
+++ b/core/mesh/delta.go
@@ -73,11 +73,13 @@
 }
 
 // forwardChanges sends the changes since the last call to this VM's children, and also
-// to the roots of all zones if this VM has read them from the store: the reader, or
-// another one while the reader can't. In a small fleet heartbeats are as
-// frequent as the reads of the store and bring the changes nearly as early with
-// fewer calls, so nothing is forwarded.
-func (m *Machine) forwardChanges(now time.Time, fromStore bool) {
+// to the roots of all zones if toAllZones is set: by the reader, and by another VM that has
+// read them while the reader can't. A first listing of another VM goes to its children
+// only, since a copy that came as a delta is not confirmed: the reader would take a watch
+// for that, instead of its own listing. In a small fleet heartbeats are as frequent as
+// the reads of the store and bring the changes nearly as early with fewer calls, so
+// nothing is forwarded.
+func (m *Machine) forwardChanges(now time.Time, toAllZones bool) {
 	if m.idleHeartbeatInterval() <= minHeartbeatInterval {
 		m.forwarded = m.storeCopy.Version()
 		return
@@ -94,7 +96,7 @@
 		return
 	}
 	to := m.children(now, m.self)
-	if fromStore {
+	if toAllZones {
 		to = append(to, m.zoneRoots(now)...)
 	}
 	for _, node := range to {
--- a/core/mesh/store.go
+++ b/core/mesh/store.go
@@ -123,10 +123,11 @@
 		return
 	}
 	m.needsListing = false
+	wasConfirmed := !m.storeCopy.ConfirmedAt().IsZero()
 	m.noteStoreRead(now)
 	m.applyRead(now, ev.Update)
 	m.confirmCopy(ev.Update.Version(), completeAsOf(now, &ev))
-	m.forwardChanges(now, true)
+	m.forwardChanges(now, wasConfirmed || m.isReader())
 }
 
 // completeAsOf returns a time at which the store had nothing newer than the
