--- a/review/standins-3/poison.go
+++ b/review/standins-3/poison.go
@@ -93,6 +93,8 @@
 	return nil
 }
 
+const largeBody = 262144 // MaxBodyBytes of the cases with one route
+
 // singleConfig is a configuration with one route: version, kind, service twice, longest
 // body, rate and burst.
 const singleConfig = `{"Version":%d,"Routes":[{"Name":"r-1","Host":"h.example","Prefix":"/book/","Kind":%q,"TimeoutMs":4000,"TargetLatencyMs":400,"Priority":2,"Service":%q,"MaxAttempts":2,"Public":false}],
