--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -39,6 +39,7 @@
 	"late":   playLate,
 	"poison": playPoison,
 	"seeds":  playSeeds,
+	"refund": playRefund,
 }
 
 func main() {
--- a/review/standins-3/searcher.go
+++ b/review/standins-3/searcher.go
@@ -47,6 +47,7 @@
 	born       time.Time
 	down       bool
 	sequence   int
+	shedShare  float64       // of requests that are rejected though there is room; from 0 to 1
 	extraShare float64       // of answers that are sent a second time, later; from 0 to 1
 	crashTime  time.Duration // for which a crashed process is away
 }
@@ -259,7 +260,7 @@
 func (s *searcher) enter(deadline time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running >= s.slots && s.waiting >= s.queue {
+	if rand.Float64() < s.shedShare || s.running >= s.slots && s.waiting >= s.queue {
 		return false
 	}
 	if s.running >= s.slots {
@@ -300,3 +301,10 @@
 	defer s.mu.Unlock()
 	s.extraShare = share
 }
+
+// reject sets the share of requests that are rejected though there is room.
+func (s *searcher) reject(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shedShare = share
+}
