--- a/review/standins-3/client.go
+++ b/review/standins-3/platform/client.go
@@ -14,7 +14,10 @@
 	"time"
 )
 
-const connectTimeout = time.Second
+const (
+	connectTimeout = time.Second
+	clientsOfZone  = 8 // that sendSteadily uses
+)
 
 // answered is the end of a client attempt.
 type answered struct {
@@ -39,22 +42,25 @@
 	zone string
 	http *http.Client
 
-	mu    sync.Mutex
+	owner owner // of what follows
 	addrs []string
 	until time.Time
 }
 
 func newClient(p *play, zone string) *client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &client{p: p, zone: zone, http: &http.Client{Transport: &http.Transport{
+	return &client{owner: newOwner(), p: p, zone: zone, http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: 8 * time.Second, DisableCompression: true,
 	}}}
 }
 
 // address returns an address of the directory's answer, which is kept for its ttl.
-func (c *client) address() (string, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (c *client) address() (address string, err error) {
+	c.owner.do(func() { address, err = c.chooseAddress() })
+	return address, err
+}
+
+func (c *client) chooseAddress() (string, error) {
 	if time.Now().After(c.until) || len(c.addrs) == 0 {
 		if addrs, ttl, err := c.resolve(); err == nil {
 			c.addrs, c.until = addrs, time.Now().Add(ttl)
@@ -152,10 +158,12 @@
 // returns the ends of all.
 func (p *play) sendSteadily(zones []string, perSecond int, length time.Duration, burst int, next func(i int) request) []answered {
 	var clients []*client
-	for _, z := range distinct(zones) {
-		clients = append(clients, newClient(p, z))
+	for range clientsOfZone {
+		for _, z := range distinct(zones) {
+			clients = append(clients, newClient(p, z))
+		}
 	}
-	var mu sync.Mutex
+	ends := newOwner()
 	var all []answered
 	var pending sync.WaitGroup
 	begin := time.Now()
@@ -174,9 +182,7 @@
 				return
 			}
 			a := c.send(front, next(i))
-			mu.Lock()
-			all = append(all, a)
-			mu.Unlock()
+			ends.do(func() { all = append(all, a) })
 		}()
 	}
 	pending.Wait()
--- a/review/standins-3/late.go
+++ b/review/standins-3/platform/late.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -11,7 +11,7 @@
 	lateSearchers = 2
 	lateSlots     = 2
 	lateQueue     = 1
-	lateWork      = 3 * time.Millisecond
+	lateWork      = 3300 * time.Microsecond
 	lateRate      = 1000 // requests per second
 	lateBurst     = 4    // requests that are sent at the same moment
 	lateFor       = 80 * time.Second
@@ -33,12 +33,10 @@
 	if err := p.setUp(zones, 3); err != nil {
 		return err
 	}
-	var mu sync.Mutex
+	tally := newOwner()
 	runs := make(map[string]int)
 	onRun := func(r run) {
-		mu.Lock()
-		defer mu.Unlock()
-		runs[r.request]++
+		tally.do(func() { runs[r.request]++ })
 	}
 	var searchers []*searcher
 	for i := range lateSearchers {
@@ -78,8 +76,7 @@
 	})
 	close(stop)
 	time.Sleep(time.Second)
-	mu.Lock()
-	defer mu.Unlock()
+	tally.do(func() { runs = maps.Clone(runs) }) // what still runs counts no more
 	twice, refused, statuses := 0, 0, map[int]int{}
 	for _, a := range answers {
 		statuses[a.status]++
--- a/review/standins-3/poison.go
+++ b/review/standins-3/platform/poison.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -22,15 +23,13 @@
 	if err := p.setUp(zones, 3); err != nil {
 		return err
 	}
-	var mu sync.Mutex
+	tally := newOwner()
 	var crashes []run
 	for i := range poisonSearchers {
 		zone := distinct(zones)[i%4]
 		s, err := newSearcher(p.st, p.rec, p.fleet.network+".240:0", fmt.Sprintf("i-%d", i+1), "desk", zone, 3, 12, 20*time.Millisecond, func(r run) {
 			if r.path == poisonPath {
-				mu.Lock()
-				defer mu.Unlock()
-				crashes = append(crashes, r)
+				tally.do(func() { crashes = append(crashes, r) })
 			}
 		})
 		if err != nil {
@@ -54,9 +53,7 @@
 	for i := 0; time.Since(begin) < poisonFor; i++ {
 		v := p.fleet.vms[i%len(p.fleet.vms)]
 		bad, good := fmt.Sprintf("bad%d", i), fmt.Sprintf("good%d", i)
-		mu.Lock()
 		sentAt[bad] = time.Now()
-		mu.Unlock()
 		pending.Add(2)
 		go func() {
 			defer pending.Done()
@@ -69,8 +66,7 @@
 		time.Sleep(poisonInterval)
 	}
 	pending.Wait()
-	mu.Lock()
-	defer mu.Unlock()
+	tally.do(func() { crashes = slices.Clone(crashes) }) // later ones are not counted
 	if !p.trouble {
 		p.rec.add("no request crashed a searcher")
 		return nil
--- a/review/standins-3/quota.go
+++ b/review/standins-3/platform/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -13,6 +14,29 @@
 	quotaSlack  = 20.0            // QuotaSlack
 )
 
+// firstRuns holds when each request was run first.
+type firstRuns struct {
+	owner owner
+	at    map[string]time.Time
+}
+
+func newFirstRuns() *firstRuns {
+	return &firstRuns{owner: newOwner(), at: make(map[string]time.Time)}
+}
+
+func (f *firstRuns) add(r run) {
+	f.owner.do(func() {
+		if f.at[r.request].IsZero() {
+			f.at[r.request] = r.at
+		}
+	})
+}
+
+func (f *firstRuns) times() (all map[string]time.Time) {
+	f.owner.do(func() { all = maps.Clone(f.at) })
+	return all
+}
+
 // checkQuota compares the requests of a tenant that were both sent and run within a
 // window with what its rate and burst allow. ran holds when each was run first.
 func (p *play) checkQuota(all []answered, ran map[string]time.Time, rate, burst int) error {
--- a/review/standins-3/record.go
+++ b/review/standins-3/platform/record.go
@@ -4,13 +4,12 @@
 	"bufio"
 	"fmt"
 	"os"
-	"sync"
 	"time"
 )
 
 // recorder writes what was sent, answered and run, with the time since its start.
 type recorder struct {
-	mu    sync.Mutex
+	owner owner // of out
 	begin time.Time
 	file  *os.File
 	out   *bufio.Writer
@@ -21,21 +20,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recorder{begin: time.Now(), file: file, out: bufio.NewWriter(file)}, nil
+	return &recorder{owner: newOwner(), begin: time.Now(), file: file, out: bufio.NewWriter(file)}, nil
 }
 
 func (r *recorder) add(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	fmt.Fprintf(r.out, "%9.4f ", time.Since(r.begin).Seconds())
-	fmt.Fprintf(r.out, format, args...)
-	_ = r.out.WriteByte('\n') // an error shows at close
+	r.owner.do(func() {
+		fmt.Fprintf(r.out, "%9.4f ", time.Since(r.begin).Seconds())
+		fmt.Fprintf(r.out, format, args...)
+		_ = r.out.WriteByte('\n') // an error shows at close
+	})
 }
 
 func (r *recorder) close() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if err := r.out.Flush(); err != nil {
+	var err error
+	r.owner.do(func() { err = r.out.Flush() })
+	if err != nil {
 		return err
 	}
 	return r.file.Close()
--- a/review/standins-3/refund.go
+++ b/review/standins-3/platform/refund.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -28,8 +27,7 @@
 	if err := p.setUp(zones, 3); err != nil {
 		return err
 	}
-	var mu sync.Mutex
-	ran := make(map[string]time.Time)
+	ran := newFirstRuns()
 	var shards, services []string
 	var searchers []*searcher
 	for i := range refundShards {
@@ -37,13 +35,7 @@
 		shards = append(shards, service)
 		services = append(services, fmt.Sprintf(`{"Name":%q,"HealthPath":"/health","MaxConnections":26,"Protocol":"h1","Tls":false,"WarmupS":3.0,"WarmupPerS":0.0}`, service))
 		for k, zone := range []string{"a", "b", "c"}[:searchersOfShard] {
-			s, err := newSearcher(p.st, p.rec, p.fleet.network+".240:0", fmt.Sprintf("i-%d-%d", i, k), service, zone, 2, 12, 8*time.Millisecond, func(r run) {
-				mu.Lock()
-				defer mu.Unlock()
-				if ran[r.request].IsZero() {
-					ran[r.request] = r.at
-				}
-			})
+			s, err := newSearcher(p.st, p.rec, p.fleet.network+".240:0", fmt.Sprintf("i-%d-%d", i, k), service, zone, 2, 12, 8*time.Millisecond, ran.add)
 			if err != nil {
 				return err
 			}
@@ -72,7 +64,5 @@
 		}
 	}
 	answers = append(answers, send("hot", refundHot, refundHotTime)...)
-	mu.Lock()
-	defer mu.Unlock()
-	return p.checkQuota(answers, ran, refundLimit, refundLimit)
+	return p.checkQuota(answers, ran.times(), refundLimit, refundLimit)
 }
--- a/review/standins-3/searcher.go
+++ b/review/standins-3/platform/searcher.go
@@ -12,7 +12,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -38,12 +37,11 @@
 	onRun             func(run)
 	address           string
 
-	mu         sync.Mutex
+	owner      owner // of what follows
 	listener   net.Listener
 	conns      map[net.Conn]bool
 	running    int
-	waiting    int
-	free       *sync.Cond
+	waiting    []chan struct{} // of requests in the queue; closed when the request gets a slot
 	born       time.Time
 	down       bool
 	sequence   int
@@ -59,8 +57,7 @@
 }
 
 func newSearcher(st *store, rec *recorder, address, id, service, zone string, slots, queue int, work time.Duration, onRun func(run)) (*searcher, error) {
-	s := &searcher{id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, st: st, rec: rec, onRun: onRun, address: address, crashTime: 2 * time.Second}
-	s.free = sync.NewCond(&s.mu)
+	s := &searcher{owner: newOwner(), id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, st: st, rec: rec, onRun: onRun, address: address, crashTime: 2 * time.Second}
 	if err := s.open(); err != nil {
 		return nil, err
 	}
@@ -74,10 +71,10 @@
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	s.address = l.Addr().String()
-	s.listener, s.conns, s.down, s.born, s.sequence = l, make(map[net.Conn]bool), false, time.Now(), 0
-	s.mu.Unlock()
+	s.owner.do(func() {
+		s.address = l.Addr().String()
+		s.listener, s.conns, s.down, s.born, s.sequence = l, make(map[net.Conn]bool), false, time.Now(), 0
+	})
 	go s.accept(l)
 	s.register()
 	return nil
@@ -85,19 +82,19 @@
 
 // register writes the entry of the searcher.
 func (s *searcher) register() {
-	s.mu.Lock()
-	s.sequence++
-	value := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","MaxConcurrency":%d,"State":"ready","WarmupLeftMs":0,"Sequence":%d,"born":%d}`,
-		s.service, s.address, s.zone, s.slots, s.sequence, s.born.UnixMilli())
-	s.mu.Unlock()
+	var value string
+	s.owner.do(func() {
+		s.sequence++
+		value = fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","MaxConcurrency":%d,"State":"ready","WarmupLeftMs":0,"Sequence":%d,"born":%d}`,
+			s.service, s.address, s.zone, s.slots, s.sequence, s.born.UnixMilli())
+	})
 	s.st.put("servers/"+s.id, value)
 }
 
 func (s *searcher) heartbeats() {
 	for range time.Tick(heartbeatInterval) {
-		s.mu.Lock()
-		down := s.down
-		s.mu.Unlock()
+		var down bool
+		s.owner.do(func() { down = s.down })
 		if !down {
 			s.register()
 		}
@@ -106,20 +103,23 @@
 
 // crash ends the process: its port refuses connections until it is back.
 func (s *searcher) crash() {
-	s.mu.Lock()
-	if s.down {
-		s.mu.Unlock()
-		return
-	}
-	s.down = true
-	_ = s.listener.Close() // the port refuses from now on
-	for c := range s.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // makes Close send a reset, as for a process that ended
+	var already bool
+	s.owner.do(func() {
+		if already = s.down; already {
+			return
 		}
-		_ = c.Close()
+		s.down = true
+		_ = s.listener.Close() // the port refuses from now on
+		for c := range s.conns {
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0) // makes Close send a reset, as for a process that ended
+			}
+			_ = c.Close()
+		}
+	})
+	if already {
+		return
 	}
-	s.mu.Unlock()
 	s.rec.add("searcher %s crashes", s.id)
 	time.AfterFunc(s.crashTime, func() {
 		if err := s.open(); err != nil {
@@ -136,14 +136,16 @@
 		if err != nil {
 			return
 		}
-		s.mu.Lock()
-		if s.down {
-			s.mu.Unlock()
+		var down bool
+		s.owner.do(func() {
+			if down = s.down; !down {
+				s.conns[c] = true
+			}
+		})
+		if down {
 			_ = c.Close() // accepted while the process ended
 			continue
 		}
-		s.conns[c] = true
-		s.mu.Unlock()
 		go s.serve(c)
 	}
 }
@@ -176,9 +178,7 @@
 	defer func() {
 		close(done)
 		_ = c.Close()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
+		s.owner.do(func() { delete(s.conns, c) })
 	}()
 	var extra []byte // second copy of an earlier answer
 	for {
@@ -204,9 +204,8 @@
 		if _, err := c.Write(answer); err != nil {
 			return
 		}
-		s.mu.Lock()
-		duplicate := rand.Float64() < s.extraShare
-		s.mu.Unlock()
+		var duplicate bool
+		s.owner.do(func() { duplicate = rand.Float64() < s.extraShare })
 		if duplicate {
 			extra = answer
 		}
@@ -258,38 +257,48 @@
 
 // enter waits for a slot. It returns false if the request is rejected.
 func (s *searcher) enter(deadline time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if rand.Float64() < s.shedShare || s.running >= s.slots && s.waiting >= s.queue {
+	rejected := false
+	var turn chan struct{} // nil if there is a slot at once
+	s.owner.do(func() {
+		switch {
+		case rand.Float64() < s.shedShare || s.running >= s.slots && len(s.waiting) >= s.queue:
+			rejected = true
+		case s.running >= s.slots:
+			turn = make(chan struct{})
+			s.waiting = append(s.waiting, turn)
+		default:
+			s.running++
+		}
+	})
+	if rejected {
 		return false
 	}
-	if s.running >= s.slots {
-		s.waiting++
-		for s.running >= s.slots {
-			s.free.Wait()
-		}
-		s.waiting--
+	if turn != nil {
+		<-turn
 		if time.Now().After(deadline) {
-			s.free.Signal()
+			s.leave()
 			return false
 		}
 	}
-	s.running++
 	return true
 }
 
+// leave gives a slot to the request that has waited longest, or back.
 func (s *searcher) leave() {
-	s.mu.Lock()
-	s.running--
-	s.mu.Unlock()
-	s.free.Signal()
+	s.owner.do(func() {
+		if len(s.waiting) == 0 {
+			s.running--
+			return
+		}
+		close(s.waiting[0])
+		s.waiting = s.waiting[1:]
+	})
 }
 
 // respond returns the bytes of an answer.
 func (s *searcher) respond(status int, id, headers string, body []byte) []byte {
-	s.mu.Lock()
-	load := fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.slots)
-	s.mu.Unlock()
+	var load string
+	s.owner.do(func() { load = fmt.Sprintf("%d,%d,%d", s.running, len(s.waiting), s.slots) })
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%sX-Anvilfork-Server-Load: %s\r\nKeep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n",
 		status, http.StatusText(status), headerRequest, id, headers, load, int(idleTimeout.Seconds()), len(body))
 	return slices.Concat([]byte(head), body)
@@ -297,14 +306,10 @@
 
 // sendTwice sets the share of answers that are sent a second time, before the next one.
 func (s *searcher) sendTwice(share float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.extraShare = share
+	s.owner.do(func() { s.extraShare = share })
 }
 
 // reject sets the share of requests that are rejected though there is room.
 func (s *searcher) reject(share float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.shedShare = share
+	s.owner.do(func() { s.shedShare = share })
 }
--- a/review/standins-3/seeds.go
+++ b/review/standins-3/platform/seeds.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -26,16 +25,9 @@
 	if err := p.setUp(zones, seeds); err != nil {
 		return err
 	}
-	var mu sync.Mutex
-	ran := make(map[string]time.Time)
+	ran := newFirstRuns()
 	for i := range 12 {
-		_, err := newSearcher(p.st, p.rec, p.fleet.network+".240:0", fmt.Sprintf("i-%d", i+1), "desk", zones[i%len(zones)], 6, 12, 5*time.Millisecond, func(r run) {
-			mu.Lock()
-			defer mu.Unlock()
-			if ran[r.request].IsZero() {
-				ran[r.request] = r.at
-			}
-		})
+		_, err := newSearcher(p.st, p.rec, p.fleet.network+".240:0", fmt.Sprintf("i-%d", i+1), "desk", zones[i%len(zones)], 6, 12, 5*time.Millisecond, ran.add)
 		if err != nil {
 			return err
 		}
@@ -72,7 +64,5 @@
 	}
 	time.Sleep(seedsHotAfter - restartDelay)
 	all = append(all, send("hot", seedsHot, seedsHotTime)...)
-	mu.Lock()
-	defer mu.Unlock()
-	return p.checkQuota(all, ran, seedsLimit, seedsLimit)
+	return p.checkQuota(all, ran.times(), seedsLimit, seedsLimit)
 }
--- a/review/standins-3/store.go
+++ b/review/standins-3/platform/store.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -31,7 +30,7 @@
 type store struct {
 	address string
 
-	mu       sync.Mutex
+	owner    owner // of what follows
 	revision uint64
 	live     map[string]item
 	history  []item
@@ -42,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: l.Addr().String(), revision: 100, live: make(map[string]item)}
+	s := &store{owner: newOwner(), address: l.Addr().String(), revision: 100, live: make(map[string]item)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.serveKey)
 	mux.HandleFunc("GET /v1/kv-range", s.serveRange)
@@ -53,33 +52,21 @@
 
 // put writes an entry. Its return is the store's acknowledgement.
 func (s *store) put(key, value string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	i := item{Key: key, Value: []byte(value), Revision: s.revision, Created: s.revision}
-	if old, found := s.live[key]; found {
-		i.Created = old.Created
-	}
-	s.live[key] = i
-	s.history = append(s.history, i)
-}
-
-// remove deletes an entry.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, found := s.live[key]; !found {
-		return
-	}
-	s.revision++
-	delete(s.live, key)
-	s.history = append(s.history, item{Key: key, Revision: s.revision, Deleted: true})
+	s.owner.do(func() {
+		s.revision++
+		i := item{Key: key, Value: []byte(value), Revision: s.revision, Created: s.revision}
+		if old, found := s.live[key]; found {
+			i.Created = old.Created
+		}
+		s.live[key] = i
+		s.history = append(s.history, i)
+	})
 }
 
 func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	i, found := s.live[r.URL.Query().Get("Key")]
-	s.mu.Unlock()
+	var i item
+	var found bool
+	s.owner.do(func() { i, found = s.live[r.URL.Query().Get("Key")] })
 	if !found {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -89,15 +76,15 @@
 
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	s.mu.Lock()
-	items := []item{}
-	for key, i := range s.live {
-		if strings.HasPrefix(key, q.Get("Prefix")) && key > q.Get("after") {
-			items = append(items, i)
+	items, asOf := []item{}, uint64(0)
+	s.owner.do(func() {
+		for key, i := range s.live {
+			if strings.HasPrefix(key, q.Get("Prefix")) && key > q.Get("after") {
+				items = append(items, i)
+			}
 		}
-	}
-	asOf := s.revision
-	s.mu.Unlock()
+		asOf = s.revision
+	})
 	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 	n := min(len(items), pageItems)
 	writeJSON(w, map[string]any{"items": items[:n], "HasMore": n < len(items), "AsOf": asOf})
@@ -125,15 +112,16 @@
 // changes returns the writes after a revision, and the revision up to which they are
 // complete.
 func (s *store) changes(prefix string, after uint64) ([]item, uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	events := []item{}
-	for _, i := range s.history {
-		if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
-			events = append(events, i)
+	events, asOf := []item{}, uint64(0)
+	s.owner.do(func() {
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+				events = append(events, i)
+			}
 		}
-	}
-	return events, s.revision
+		asOf = s.revision
+	})
+	return events, asOf
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
